--- /dev/null
+++ b/crates/gradedyke-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/gradedyke-platform/src/etcd.rs
@@ -0,0 +1,437 @@
+//! Adapter for a key-value service that speaks etcd's v3 JSON mapping.
+//!
+//! The mapping is the published one of etcd's gRPC gateway: keys and values in
+//! base64, 64-bit numbers as strings, default values left out. Every call, a
+//! waiting watch too, is counted in `gradedyke_key_value_calls_total`, because
+//! the service's rates are small and shared.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::BytesMut;
+use gradedyke_http::client::{self, Client};
+use gradedyke_http::body;
+use http::Method;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::kv::{
+    Entry, Error, Event, KeyValue, Lease, Listing, MAX_VALUE, Revision, Swap, Swapped, Watch,
+};
+
+/// How the adapter behaves.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Addresses of the service, tried in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// Longest time for one call other than a watch.
+    pub time: Duration,
+}
+
+/// The adapter.
+#[derive(Debug)]
+pub struct Etcd {
+    config: Config,
+    client: Client,
+    current: AtomicUsize,
+}
+
+#[derive(Serialize, Deserialize, Default)]
+struct Header {
+    #[serde(default)]
+    revision: String,
+}
+
+#[derive(Deserialize, Default)]
+struct RawEntry {
+    #[serde(default)]
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    mod_revision: String,
+}
+
+#[derive(Serialize)]
+struct RangeRequest {
+    key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    range_end: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct RangeReply {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    kvs: Vec<RawEntry>,
+}
+
+#[derive(Serialize)]
+struct PutRequest {
+    key: String,
+    value: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lease: Option<String>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Operation {
+    RequestPut(PutRequest),
+    RequestDeleteRange(RangeRequest),
+    RequestRange(RangeRequest),
+}
+
+#[derive(Serialize)]
+struct Compare {
+    key: String,
+    target: &'static str,
+    result: &'static str,
+    mod_revision: String,
+}
+
+#[derive(Serialize)]
+struct TxnRequest {
+    compare: Vec<Compare>,
+    success: Vec<Operation>,
+    failure: Vec<Operation>,
+}
+
+#[derive(Deserialize)]
+struct TxnReply {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    succeeded: bool,
+    #[serde(default)]
+    responses: Vec<TxnPart>,
+}
+
+#[derive(Deserialize)]
+struct TxnPart {
+    #[serde(default)]
+    response_range: Option<RangeReply>,
+}
+
+#[derive(Serialize)]
+struct LeaseRequest {
+    #[serde(rename = "ID")]
+    id: String,
+    #[serde(rename = "TTL", skip_serializing_if = "Option::is_none")]
+    ttl: Option<String>,
+}
+
+#[derive(Deserialize, Default)]
+struct LeaseReply {
+    #[serde(rename = "ID", default)]
+    id: String,
+    #[serde(rename = "TTL", default)]
+    ttl: String,
+}
+
+#[derive(Deserialize)]
+struct Streamed<T> {
+    result: T,
+}
+
+#[derive(Serialize)]
+struct WatchRequest {
+    create_request: WatchCreate,
+}
+
+#[derive(Serialize)]
+struct WatchCreate {
+    key: String,
+    range_end: String,
+    start_revision: String,
+}
+
+#[derive(Deserialize, Default)]
+struct WatchReply {
+    #[serde(default)]
+    canceled: bool,
+    #[serde(default)]
+    compact_revision: String,
+    #[serde(default)]
+    events: Vec<RawEvent>,
+}
+
+#[derive(Deserialize)]
+struct RawEvent {
+    #[serde(default, rename = "type")]
+    kind: String,
+    kv: RawEntry,
+}
+
+/// The end of the range of keys that begin with `prefix`.
+fn range_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    // Every key: etcd's mark for no end.
+    vec![0]
+}
+
+fn number(text: &str) -> u64 {
+    text.parse().unwrap_or(0)
+}
+
+fn entry(raw: &RawEntry) -> Result<Entry, Error> {
+    let refused = |e: base64::DecodeError| Error::Refused(e.to_string());
+    let key = STANDARD.decode(&raw.key).map_err(refused)?;
+    Ok(Entry {
+        key: String::from_utf8_lossy(&key).into_owned(),
+        value: STANDARD.decode(&raw.value).map_err(refused)?,
+        revision: number(&raw.mod_revision),
+    })
+}
+
+/// Reads a failed call as one of the service's errors.
+fn failure(error: &client::Error) -> Error {
+    match error {
+        client::Error::NotSent { .. } => Error::Unavailable(error.to_string()),
+        client::Error::Broken { .. } | client::Error::TimedOut { .. } => {
+            Error::Unknown(error.to_string())
+        }
+        client::Error::Status { message, .. } if message.contains("lease not found") => {
+            Error::LeaseGone
+        }
+        // 503 is what the gateway answers when it did not take the call.
+        client::Error::Status { status, .. } if status.as_u16() == 503 => {
+            Error::Unavailable(error.to_string())
+        }
+        client::Error::Status { .. } => Error::Refused(error.to_string()),
+    }
+}
+
+impl Etcd {
+    /// An adapter for the service at `config.addresses`, of which there must be
+    /// one at least.
+    pub fn new(config: Config) -> Self {
+        assert!(!config.addresses.is_empty(), "no address of the service");
+        Self {
+            config,
+            client: Client::new(&client::Config::default()),
+            current: AtomicUsize::new(0),
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        let current = self.current.load(Ordering::Relaxed);
+        self.config.addresses[current % self.config.addresses.len()]
+    }
+
+    async fn call<T: Serialize, U: DeserializeOwned>(
+        &self,
+        operation: &'static str,
+        path: &str,
+        request: &T,
+    ) -> Result<U, Error> {
+        metrics::counter!("gradedyke_key_value_calls_total", "operation" => operation).increment(1);
+        let address = self.address();
+        let reply = self
+            .client
+            .json(Method::POST, address, path, Some(request), self.config.time)
+            .await;
+        reply.map_err(|error| {
+            self.current.fetch_add(1, Ordering::Relaxed);
+            failure(&error)
+        })
+    }
+
+    async fn range(&self, request: &RangeRequest) -> Result<RangeReply, Error> {
+        self.call("range", "/v3/kv/range", request).await
+    }
+}
+
+#[async_trait]
+impl KeyValue for Etcd {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        let request = RangeRequest {
+            key: STANDARD.encode(key),
+            range_end: None,
+        };
+        let reply = self.range(&request).await?;
+        reply.kvs.first().map(entry).transpose()
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        let request = RangeRequest {
+            key: STANDARD.encode(prefix),
+            range_end: Some(STANDARD.encode(range_end(prefix))),
+        };
+        let reply = self.range(&request).await?;
+        Ok(Listing {
+            entries: reply.kvs.iter().map(entry).collect::<Result<_, _>>()?,
+            revision: number(&reply.header.revision),
+        })
+    }
+
+    async fn swap(&self, swap: Swap) -> Result<Swapped, Error> {
+        let size = swap.value.as_ref().map_or(0, Vec::len);
+        if size > MAX_VALUE {
+            return Err(Error::TooLarge(size));
+        }
+        let key = STANDARD.encode(&swap.key);
+        let range = || RangeRequest {
+            key: key.clone(),
+            range_end: None,
+        };
+        let write = match &swap.value {
+            Some(value) => Operation::RequestPut(PutRequest {
+                key: key.clone(),
+                value: STANDARD.encode(value),
+                lease: swap.lease.map(|lease| lease.0.to_string()),
+            }),
+            None => Operation::RequestDeleteRange(range()),
+        };
+        let request = TxnRequest {
+            compare: vec![Compare {
+                key: key.clone(),
+                target: "MOD",
+                result: "EQUAL",
+                mod_revision: swap.expected.to_string(),
+            }],
+            success: vec![write],
+            failure: vec![Operation::RequestRange(range())],
+        };
+        let reply: TxnReply = self.call("txn", "/v3/kv/txn", &request).await?;
+        if reply.succeeded {
+            return Ok(Swapped::Done(number(&reply.header.revision)));
+        }
+        let found = reply
+            .responses
+            .first()
+            .and_then(|part| part.response_range.as_ref())
+            .and_then(|range| range.kvs.first());
+        Ok(Swapped::Conflict(found.map(entry).transpose()?))
+    }
+
+    async fn grant(&self, length: Duration) -> Result<Lease, Error> {
+        let seconds = length.as_millis().div_ceil(1_000);
+        let request = LeaseRequest {
+            id: "0".to_owned(),
+            ttl: Some(seconds.to_string()),
+        };
+        let reply: LeaseReply = self.call("grant", "/v3/lease/grant", &request).await?;
+        let id = reply.id.parse();
+        id.map(Lease)
+            .map_err(|_| Error::Refused("it granted a lease without an id".to_owned()))
+    }
+
+    async fn renew(&self, lease: Lease) -> Result<(), Error> {
+        let request = LeaseRequest {
+            id: lease.0.to_string(),
+            ttl: None,
+        };
+        let path = "/v3/lease/keepalive";
+        let reply: Streamed<LeaseReply> = self.call("renew", path, &request).await?;
+        match number(&reply.result.ttl) {
+            0 => Err(Error::LeaseGone),
+            _ => Ok(()),
+        }
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        let request = LeaseRequest {
+            id: lease.0.to_string(),
+            ttl: None,
+        };
+        let path = "/v3/lease/revoke";
+        let _: serde_json::Value = self.call("revoke", path, &request).await?;
+        Ok(())
+    }
+
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<Box<dyn Watch>, Error> {
+        metrics::counter!("gradedyke_key_value_calls_total", "operation" => "watch").increment(1);
+        let address = self.address();
+        let request = WatchRequest {
+            create_request: WatchCreate {
+                key: STANDARD.encode(prefix),
+                range_end: STANDARD.encode(range_end(prefix)),
+                start_revision: from.to_string(),
+            },
+        };
+        let bytes = serde_json::to_vec(&request).map_err(|e| Error::Refused(e.to_string()))?;
+        let request = client::build(Method::POST, address, "/v3/watch", body::full(bytes))
+            .map_err(|e| failure(&e))?;
+        let opening = self.client.send(address, request);
+        let reply = tokio::time::timeout(self.config.time, opening)
+            .await
+            .map_err(|_| Error::Unavailable(format!("{address} opened no watch in time")))?
+            .map_err(|e| failure(&e))?;
+        if !reply.status().is_success() {
+            self.current.fetch_add(1, Ordering::Relaxed);
+            return Err(Error::Unavailable(format!("{address}: {}", reply.status())));
+        }
+        Ok(Box::new(Stream {
+            incoming: reply.into_body(),
+            buffer: BytesMut::new(),
+        }))
+    }
+}
+
+/// A watch: a stream of JSON documents, one to a line.
+struct Stream {
+    incoming: Incoming,
+    buffer: BytesMut,
+}
+
+impl Stream {
+    async fn line(&mut self) -> Result<BytesMut, Error> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|b| *b == b'\n') {
+                return Ok(self.buffer.split_to(end + 1));
+            }
+            let broken = || Error::Unavailable("the watch was cut".to_owned());
+            let frame = self.incoming.frame().await.ok_or_else(broken)?;
+            let frame = frame.map_err(|_| broken())?;
+            if let Ok(data) = frame.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Watch for Stream {
+    async fn next(&mut self) -> Result<Vec<Event>, Error> {
+        loop {
+            let line = self.line().await?;
+            let reply: Streamed<WatchReply> =
+                serde_json::from_slice(&line).map_err(|e| Error::Refused(e.to_string()))?;
+            let reply = reply.result;
+            if number(&reply.compact_revision) > 0 {
+                return Err(Error::Compacted);
+            }
+            if reply.canceled {
+                return Err(Error::Unavailable("the watch was cancelled".to_owned()));
+            }
+            if !reply.events.is_empty() {
+                return reply.events.iter().map(event).collect();
+            }
+        }
+    }
+}
+
+fn event(raw: &RawEvent) -> Result<Event, Error> {
+    let entry = entry(&raw.kv)?;
+    if raw.kind == "DELETE" {
+        return Ok(Event::Delete {
+            key: entry.key,
+            revision: entry.revision,
+        });
+    }
+    Ok(Event::Put(entry))
+}
--- /dev/null
+++ b/crates/gradedyke/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
