--- /dev/null
+++ b/crates/gradedyke-standin/src/engine.rs
@@ -0,0 +1,548 @@
+//! A model engine: continuous batching, a bounded prefix cache, priorities, a
+//! lagging load report, late and gapped cache events.
+//!
+//! The model: a step takes `step` and advances every running call; a call first
+//! computes the part of its prompt that is not cached, then generates a token a
+//! step. A token is a word. The text depends on the messages alone, so the same
+//! conversation gets the same answer from every engine.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_http::{Body, Handler, body, reply};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+/// How the engine is built and how it misreports.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Config {
+    /// Calls that generate at a time.
+    pub batch: usize,
+    /// Length of a step, in microseconds.
+    pub step_us: u64,
+    /// Prompt tokens that a call computes in a step.
+    pub prefill_tokens: u64,
+    /// Tokens that the cache holds.
+    pub cache_tokens: u64,
+    /// How old the load report and the cache events are, in milliseconds.
+    pub lag_ms: u64,
+    /// Every so manieth cache event is lost; 0 for none.
+    pub lose_event: u64,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+    /// Tokens in an answer, before `max_tokens` cuts it.
+    pub answer_tokens: u64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            batch: 32,
+            step_us: 1_000,
+            prefill_tokens: 512,
+            cache_tokens: 200_000,
+            lag_ms: 100,
+            lose_event: 0,
+            checks_fencing: true,
+            answer_tokens: 24,
+        }
+    }
+}
+
+/// One call that ran, as the engine saw it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Run {
+    /// The attempt's name.
+    pub attempt: String,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Those found in the cache.
+    pub cached_tokens: u64,
+    /// Tokens generated.
+    pub completion_tokens: u64,
+    /// The text.
+    pub text: String,
+    /// Whether it came to its end.
+    pub whole: bool,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Engine {
+    config: Config,
+    state: Mutex<State>,
+    work: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    attempts: BTreeMap<String, Attempt>,
+    waiting: Vec<String>,
+    running: Vec<String>,
+    cache: BTreeMap<String, Cached>,
+    pins: BTreeSet<(String, String)>,
+    events: Vec<(Instant, Value)>,
+    event_number: u64,
+    loads: Vec<(Instant, Value)>,
+    fencing: u64,
+    orders: Vec<Value>,
+    clock: u64,
+    leaving: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Cached {
+    tokens: u64,
+    used: u64,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    run: Run,
+    model: String,
+    priority: i64,
+    order: u64,
+    prefill_left: u64,
+    words: Vec<String>,
+    keys: Vec<(String, u64)>,
+    progress: watch::Sender<usize>,
+    ended: bool,
+}
+
+const WORDS: [&str; 16] = [
+    "the", "council", "notes", "item", "approved", "copy", "shelf", "price", "motion", "carried",
+    "chair", "stock", "minutes", "lot", "edition", "record",
+];
+
+fn words_of(message: &Value) -> u64 {
+    let content = message["content"].as_str().unwrap_or_default();
+    content.split_whitespace().count() as u64 + 1
+}
+
+/// The answer to `messages`: a function of what they say.
+fn answer(messages: &[Value], tokens: u64) -> Vec<String> {
+    let mut hasher = blake3::Hasher::new();
+    for message in messages {
+        hasher.update(message["role"].to_string().as_bytes());
+        hasher.update(message["content"].to_string().as_bytes());
+    }
+    let mut reader = hasher.finalize_xof();
+    let mut bytes = vec![0; usize::try_from(tokens).unwrap_or(0)];
+    reader.fill(&mut bytes);
+    let word = |byte: u8| format!("{} ", WORDS[usize::from(byte) % WORDS.len()]);
+    bytes.into_iter().map(word).collect()
+}
+
+impl Engine {
+    /// An idle engine. It needs a tokio runtime for its steps.
+    pub fn start(config: Config) -> Arc<Self> {
+        let engine = Arc::new(Self {
+            config,
+            state: Mutex::default(),
+            work: Notify::new(),
+        });
+        let weak = Arc::downgrade(&engine);
+        tokio::spawn(async move {
+            while let Some(engine) = weak.upgrade() {
+                engine.turn().await;
+            }
+        });
+        engine
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// All calls that were started.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().attempts.values().map(|a| a.run.clone()).collect()
+    }
+
+    /// Programs for which memory is held, with the prefixes.
+    pub fn pins(&self) -> Vec<(String, String)> {
+        self.lock().pins.iter().cloned().collect()
+    }
+
+    /// Orders carried out so far.
+    pub fn orders(&self) -> Vec<Value> {
+        self.lock().orders.clone()
+    }
+
+    /// Says from now on that the engine is leaving, or no longer.
+    pub fn leave(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
+    /// One step, or a wait for work.
+    async fn turn(&self) {
+        let idle = {
+            let mut state = self.lock();
+            state.admit(self.config.batch);
+            state.running.is_empty()
+        };
+        if idle {
+            // The wait is bounded so that the task sees when the engine is dropped.
+            let wait = Duration::from_millis(100);
+            let _ = tokio::time::timeout(wait, self.work.notified()).await;
+            return;
+        }
+        tokio::time::sleep(Duration::from_micros(self.config.step_us)).await;
+        self.lock().step(&self.config);
+    }
+
+    fn submit(&self, attempt: &str, request: &Value) {
+        let empty = Vec::new();
+        let messages = request["messages"].as_array().unwrap_or(&empty);
+        let counts: Vec<u64> = messages.iter().map(words_of).collect();
+        let keys = request["cache_keys"].as_array().unwrap_or(&empty).iter();
+        let keys = keys.filter_map(|k| k.as_str().map(str::to_owned));
+        let limit = request["max_tokens"].as_u64();
+        let limit = request["max_completion_tokens"].as_u64().or(limit);
+        let tokens = limit.unwrap_or(u64::MAX).min(self.config.answer_tokens);
+        let mut state = self.lock();
+        if state.attempts.contains_key(attempt) {
+            return;
+        }
+        state.clock += 1;
+        let entry = Attempt {
+            run: Run {
+                attempt: attempt.to_owned(),
+                prompt_tokens: counts.iter().sum(),
+                cached_tokens: 0,
+                completion_tokens: 0,
+                text: String::new(),
+                whole: false,
+            },
+            model: request["model"].as_str().unwrap_or_default().to_owned(),
+            priority: request["priority"].as_i64().unwrap_or(0),
+            order: state.clock,
+            prefill_left: 0,
+            words: answer(messages, tokens),
+            keys: keys.zip(counts).collect(),
+            progress: watch::Sender::new(0),
+            ended: false,
+        };
+        state.attempts.insert(attempt.to_owned(), entry);
+        state.waiting.push(attempt.to_owned());
+        drop(state);
+        self.work.notify_one();
+    }
+
+    /// Streams an attempt's text from a byte offset on.
+    fn stream(self: &Arc<Self>, attempt: &str, offset: usize) -> Response<Body> {
+        let progress = self.lock().attempts.get(attempt).map(|a| a.progress.subscribe());
+        let Some(mut progress) = progress else {
+            let message = "no such attempt here; start the call again";
+            return reply::problem(&Problem::new(Kind::NotFound, message));
+        };
+        let (sender, body) = body::channel(16);
+        let engine = self.clone();
+        let attempt = attempt.to_owned();
+        tokio::spawn(async move {
+            let mut offset = offset;
+            loop {
+                progress.borrow_and_update();
+                let (chunks, ended) = engine.news(&attempt, &mut offset);
+                if !chunks.is_empty() && sender.send(Ok(Bytes::from(chunks))).await.is_err() {
+                    return;
+                }
+                if ended || progress.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+        let mut reply = Response::new(body);
+        let kind = http::HeaderValue::from_static("text/event-stream");
+        reply.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        reply
+    }
+
+    /// What has come since `offset`, as server-sent events.
+    fn news(&self, attempt: &str, offset: &mut usize) -> (String, bool) {
+        let state = self.lock();
+        let Some(entry) = state.attempts.get(attempt) else {
+            return (String::new(), true);
+        };
+        let chunk = |choices: Value, usage: Value| {
+            let chunk = json!({
+                "id": attempt, "object": "chat.completion.chunk", "model": entry.model,
+                "choices": choices, "usage": usage,
+            });
+            format!("data: {chunk}\n\n")
+        };
+        let text = entry.run.text.get(*offset..).unwrap_or_default();
+        *offset += text.len();
+        let mut chunks = String::new();
+        if !text.is_empty() {
+            let choice = json!([{ "index": 0, "delta": { "content": text } }]);
+            chunks.push_str(&chunk(choice, Value::Null));
+        }
+        if entry.run.whole {
+            let choice = json!([{ "index": 0, "delta": {}, "finish_reason": "stop" }]);
+            chunks.push_str(&chunk(choice, Value::Null));
+            let run = &entry.run;
+            let usage = json!({
+                "prompt_tokens": run.prompt_tokens,
+                "completion_tokens": run.completion_tokens,
+                "total_tokens": run.prompt_tokens + run.completion_tokens,
+                "prompt_tokens_details": { "cached_tokens": run.cached_tokens },
+            });
+            chunks.push_str(&chunk(json!([]), usage));
+            chunks.push_str("data: [DONE]\n\n");
+        }
+        (chunks, entry.ended)
+    }
+
+    fn pin(&self, pin: &Value) -> Response<Body> {
+        let text = |name: &str| pin[name].as_str().unwrap_or_default().to_owned();
+        let mut state = self.lock();
+        if !state.cache.contains_key(&text("key")) {
+            return reply::problem(&Problem::new(Kind::NotFound, "that prefix is not cached"));
+        }
+        state.pins.insert((text("holder"), text("key")));
+        reply::json(StatusCode::OK, &json!({}))
+    }
+
+    fn order(&self, order: &Value) -> Response<Body> {
+        let mut state = self.lock();
+        let fencing = order["fencing"].as_u64().unwrap_or(0);
+        if self.config.checks_fencing && fencing < state.fencing {
+            let newest = state.fencing.to_string();
+            return reply::problem(&Problem::new(Kind::Conflict, newest));
+        }
+        state.fencing = state.fencing.max(fencing);
+        state.orders.push(order.clone());
+        reply::json(StatusCode::OK, &json!({}))
+    }
+
+    fn get(self: &Arc<Self>, path: &str, query: u64) -> Response<Body> {
+        let aged = Instant::now() - Duration::from_millis(self.config.lag_ms);
+        let state = self.lock();
+        match path {
+            "/control/load" => {
+                let old = state.loads.iter().rev().find(|(at, _)| *at <= aged);
+                let load = old.map_or_else(|| json!({}), |(_, load)| load.clone());
+                let mut load = load;
+                load["leaving"] = state.leaving.into();
+                reply::json(StatusCode::OK, &load)
+            }
+            "/control/cache/events" => {
+                let lost = |number: u64| {
+                    self.config.lose_event > 0 && number.is_multiple_of(self.config.lose_event)
+                };
+                let news = state.events.iter().filter(|(at, event)| {
+                    let number = event["number"].as_u64().unwrap_or(0);
+                    *at <= aged && number > query && !lost(number)
+                });
+                let news: Vec<_> = news.map(|(_, event)| event).collect();
+                reply::json(StatusCode::OK, &news)
+            }
+            "/control/pins" => {
+                let pin = |(holder, key): &(String, String)| json!({ "holder": holder, "key": key });
+                let pins: Vec<_> = state.pins.iter().map(pin).collect();
+                reply::json(StatusCode::OK, &pins)
+            }
+            "/records" => {
+                let runs: Vec<_> = state.attempts.values().map(|a| &a.run).collect();
+                reply::json(StatusCode::OK, &json!({ "runs": runs, "pins": state.pins }))
+            }
+            _ => reply::no_route(path),
+        }
+    }
+
+    fn delete(&self, path: &str) -> Response<Body> {
+        let mut state = self.lock();
+        if let Some(attempt) = path.strip_prefix("/control/requests/") {
+            state.end(attempt);
+        } else if let Some(holder) = path.strip_prefix("/control/pins/") {
+            state.pins.retain(|(h, _)| h != holder);
+        }
+        reply::json(StatusCode::OK, &json!({}))
+    }
+
+    async fn post(self: &Arc<Self>, path: &str, attempt: &str, bytes: &[u8]) -> Response<Body> {
+        let json: Value = match reply::parse(bytes) {
+            Ok(json) => json,
+            Err(problem) => return reply::problem(&problem),
+        };
+        match path {
+            "/v1/chat/completions" => {
+                self.submit(attempt, &json);
+                self.stream(attempt, 0)
+            }
+            "/control/pins" => self.pin(&json),
+            "/control/orders" => self.order(&json),
+            "/control/cache/export" => reply::json(StatusCode::OK, &json!({ "handle": json["key"] })),
+            "/control/cache/import" => {
+                let key = json["key"].as_str().unwrap_or_default().to_owned();
+                let mut state = self.lock();
+                state.store(&key, 1);
+                reply::json(StatusCode::OK, &json!({}))
+            }
+            _ => reply::no_route(path),
+        }
+    }
+}
+
+/// Past load reports that are kept.
+const LOADS: usize = 4_096;
+
+impl State {
+    fn admit(&mut self, batch: usize) {
+        while self.running.len() < batch && !self.waiting.is_empty() {
+            let rank = |name: &String| self.attempts.get(name).map(|a| (a.priority, a.order));
+            let first = (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i]));
+            let name = self.waiting.swap_remove(first.unwrap_or(0));
+            self.begin(&name);
+            self.running.push(name);
+        }
+    }
+
+    /// Looks the prompt up in the cache and puts it there.
+    fn begin(&mut self, name: &str) {
+        let Some(attempt) = self.attempts.get(name) else {
+            return;
+        };
+        let keys = attempt.keys.clone();
+        let known = keys.iter().take_while(|(k, _)| self.cache.contains_key(k));
+        let cached = known.map(|(_, tokens)| tokens).sum();
+        for (key, tokens) in &keys {
+            self.store(key, *tokens);
+        }
+        if let Some(attempt) = self.attempts.get_mut(name) {
+            attempt.run.cached_tokens = cached;
+            attempt.prefill_left = attempt.run.prompt_tokens - cached;
+        }
+    }
+
+    fn store(&mut self, key: &str, tokens: u64) {
+        self.clock += 1;
+        let used = self.clock;
+        let before = self.cache.insert(key.to_owned(), Cached { tokens, used });
+        if before.is_none() {
+            self.event(key, true);
+        }
+    }
+
+    fn event(&mut self, key: &str, cached: bool) {
+        self.event_number += 1;
+        let event = json!({ "number": self.event_number, "key": key, "cached": cached });
+        self.events.push((Instant::now(), event));
+    }
+
+    fn evict(&mut self, capacity: u64) {
+        let mut total: u64 = self.cache.values().map(|c| c.tokens).sum();
+        while total > capacity {
+            let pinned: BTreeSet<&String> = self.pins.iter().map(|(_, key)| key).collect();
+            let free = self.cache.iter().filter(|(key, _)| !pinned.contains(key));
+            let Some(oldest) = free.min_by_key(|(_, c)| c.used) else {
+                return;
+            };
+            let key = oldest.0.clone();
+            total -= self.cache.remove(&key).map_or(0, |c| c.tokens);
+            self.event(&key, false);
+        }
+    }
+
+    fn step(&mut self, config: &Config) {
+        let running = std::mem::take(&mut self.running);
+        for name in running {
+            let Some(attempt) = self.attempts.get_mut(&name) else {
+                continue;
+            };
+            if attempt.advance(config.prefill_tokens) {
+                self.running.push(name);
+            }
+        }
+        self.evict(config.cache_tokens);
+        let pending = self.running.iter().chain(&self.waiting);
+        let pending = pending.filter_map(|name| self.attempts.get(name));
+        let pending: u64 = pending.map(Attempt::pending).sum();
+        let load = json!({
+            "running": self.running.len(), "waiting": self.waiting.len(), "pending_tokens": pending,
+        });
+        self.loads.push((Instant::now(), load));
+        if self.loads.len() > LOADS {
+            self.loads.drain(..LOADS / 2);
+        }
+    }
+
+    fn end(&mut self, name: &str) {
+        self.waiting.retain(|n| n != name);
+        self.running.retain(|n| n != name);
+        if let Some(attempt) = self.attempts.get_mut(name) {
+            attempt.ended = true;
+            attempt.progress.send_modify(|p| *p += 1);
+        }
+    }
+}
+
+impl Attempt {
+    /// One step; tells whether there is more to do.
+    fn advance(&mut self, prefill: u64) -> bool {
+        if self.ended {
+            return false;
+        }
+        if self.prefill_left > 0 {
+            self.prefill_left = self.prefill_left.saturating_sub(prefill);
+            return true;
+        }
+        let done = usize::try_from(self.run.completion_tokens).unwrap_or(usize::MAX);
+        if let Some(word) = self.words.get(done) {
+            self.run.text.push_str(word);
+            self.run.completion_tokens += 1;
+        }
+        self.ended = done + 1 >= self.words.len();
+        self.run.whole = self.ended;
+        self.progress.send_modify(|p| *p += 1);
+        !self.ended
+    }
+
+    fn pending(&self) -> u64 {
+        self.prefill_left + self.words.len() as u64 - self.run.completion_tokens
+    }
+}
+
+/// The engine as a listener.
+#[derive(Debug)]
+pub struct Listener(pub Arc<Engine>);
+
+#[async_trait]
+impl Handler for Listener {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().and_then(|q| q.split_once('='));
+        let query = query.and_then(|(_, n)| n.parse().ok()).unwrap_or(0);
+        match *request.method() {
+            Method::DELETE => return self.0.delete(&path),
+            Method::GET => {
+                return match path.strip_prefix("/control/requests/") {
+                    Some(attempt) => {
+                        let offset = usize::try_from(query).unwrap_or(usize::MAX);
+                        self.0.stream(attempt, offset)
+                    }
+                    None => self.0.get(&path, query),
+                };
+            }
+            _ => {}
+        }
+        let attempt = request.headers().get("x-request-id");
+        let attempt = attempt.and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let attempt = attempt.to_owned();
+        let time = Duration::from_secs(10);
+        match body::collect(request.into_body(), 64 << 20, time).await {
+            Ok(bytes) => self.0.post(&path, &attempt, &bytes).await,
+            Err(problem) => reply::problem(&problem),
+        }
+    }
+}
