--- a/crates/gradedyke-backend/src/engine.rs
+++ b/crates/gradedyke-backend/src/engine.rs
@@ -55,8 +55,8 @@
 pub struct Pin {
     /// The program it is kept for.
     pub holder: id::Program,
-    /// The prefix.
-    pub key: Key,
+    /// The prefix: its keys from the first message on.
+    pub keys: Vec<Key>,
 }
 
 /// What an engine can be ordered to do.
--- a/crates/gradedyke-base/src/settings/instance.rs
+++ b/crates/gradedyke-base/src/settings/instance.rs
@@ -74,6 +74,9 @@
     pub head_ms: u64,
     /// Most connections at a time on the caller listener.
     pub connections: usize,
+    /// Time between saying that this process leaves and refusing connections,
+    /// in milliseconds: as long as the balancer takes to notice.
+    pub leave_ms: u64,
     /// Longest time that a planned stop waits for streams, in milliseconds.
     pub drain_ms: u64,
 }
@@ -85,6 +88,7 @@
             body_ms: 10_000,
             head_ms: 5_000,
             connections: 8_192,
+            leave_ms: 2_000,
             drain_ms: 600_000,
         }
     }
@@ -112,6 +116,12 @@
     /// Length of this process's lease, in milliseconds.
     #[serde(default = "lease_ms")]
     pub lease_ms: u64,
+    /// Keepers that each part of the journal has; the same everywhere.
+    #[serde(default = "copies")]
+    pub copies: usize,
+    /// Hash of the key of the first operator, who applies the first settings.
+    #[serde(default)]
+    pub operator_hash: Option<String>,
     /// Limits towards callers.
     #[serde(default)]
     pub limits: Limits,
@@ -121,6 +131,10 @@
     5_000
 }
 
+fn copies() -> usize {
+    3
+}
+
 /// Shortest sensible lease: below it, an ordinary pause loses the lease.
 const SHORTEST_LEASE_MS: u64 = 1_000;
 
@@ -144,10 +158,16 @@
             return Some(("id", "not a usable name; use letters, digits and - _ . :"));
         }
         if self.roles.is_empty() {
-            return Some(("roles", "no role; name at least one of entry, owner, keeper, admin"));
+            return Some((
+                "roles",
+                "no role; name at least one of entry, owner, keeper, admin",
+            ));
         }
         if self.roles.contains(&Role::Entry) && self.listen.caller.is_none() {
-            return Some(("listen", "role entry needs listen.caller; add an address and port"));
+            return Some((
+                "listen",
+                "role entry needs listen.caller; add an address and port",
+            ));
         }
         if self.platform.key_value.is_empty() {
             return Some(("platform.key_value", "no address; name at least one"));
@@ -155,6 +175,12 @@
         if self.lease_ms < SHORTEST_LEASE_MS {
             return Some(("lease_ms", "too short to hold; use 1000 or more"));
         }
+        if self.copies == 0 {
+            return Some((
+                "copies",
+                "nothing would be kept; use 1 or more, 3 as a rule",
+            ));
+        }
         None
     }
 
--- /dev/null
+++ b/crates/gradedyke-cli/src/help.rs
@@ -0,0 +1,75 @@
+//! Help texts.
+
+const GENERAL: &str = "\
+gradedyke: a shared scheduling service for agent programs
+
+usage: gradedyke COMMAND [OPTIONS]
+
+commands:
+  demo      run everything in one process and show what it does
+  run       run the roles that a settings file names
+  settings  check settings, or put them in force
+  status    tell of an instance and the members it sees
+  key       make a key and the hash that settings keep of it
+
+gradedyke COMMAND --help tells more. Logs go to standard error; GRADEDYKE_LOG
+chooses them (error, warn, info, debug).
+
+exit codes: 0 ok, 1 failed, 2 wrong usage or settings
+";
+
+const DEMO: &str = "\
+usage: gradedyke demo [--stay] [--instances N]
+
+Starts stand-ins for the platform, model engines and plain services, and N
+instances (3) with every role, all in this process on loopback ports. Runs
+agent programs through them and ends with a line of figures, counted from what
+the stand-ins recorded. Exits with 0 only if all figures are right.
+
+  --stay         keep listening afterwards and print curl lines to try
+  --instances N  number of instances
+";
+
+const RUN: &str = "\
+usage: gradedyke run --settings FILE
+
+Runs the roles that FILE names until SIGTERM or SIGINT, which drain: new work
+goes elsewhere, streams finish, slots are handed over. A second signal stops at
+once. See docs/OPERATING.md for the settings.
+";
+
+const SETTINGS: &str = "\
+usage: gradedyke settings check FILE [--instance]
+       gradedyke settings apply FILE --admin ADDRESS --key KEY [--if-revision N]
+
+check   reads FILE as the operators' tree, or with --instance as the settings
+        of one process, and names every fault with file, line, path and remedy
+apply   puts the tree in FILE in force after revision N (by default the one in
+        force now) and prints the new revision
+";
+
+const STATUS: &str = "\
+usage: gradedyke status --admin ADDRESS --key KEY [--json]
+
+Tells of the instance whose admin listener is at ADDRESS, and for each member
+it sees the revision of the settings in force there.
+";
+
+const KEY: &str = "\
+usage: gradedyke key [KEY]
+
+Makes a random key, or takes KEY, and prints it with the hash that settings
+keep of it.
+";
+
+/// The help for a command, or the general one.
+pub fn text(topic: &str) -> &'static str {
+    match topic {
+        "demo" => DEMO,
+        "run" => RUN,
+        "settings" => SETTINGS,
+        "status" => STATUS,
+        "key" => KEY,
+        _ => GENERAL,
+    }
+}
--- a/crates/gradedyke-http/src/reply.rs
+++ b/crates/gradedyke-http/src/reply.rs
@@ -34,8 +34,8 @@
 
 /// An error reply, with `retry-after` where the problem says when.
 pub fn problem(problem: &Problem) -> Response<Body> {
-    let status = StatusCode::from_u16(problem.kind.status())
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status =
+        StatusCode::from_u16(problem.kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut reply = bytes_of(status, "application/json", problem.body());
     if let Some(ms) = problem.retry_after_ms {
         let seconds = ms.div_ceil(MS_PER_SECOND);
--- a/crates/gradedyke-journal/src/entry.rs
+++ b/crates/gradedyke-journal/src/entry.rs
@@ -70,9 +70,7 @@
 
 /// The end of a log. Of two logs, the one with the greater tail has all that
 /// was ever kept by a majority.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Tail {
     /// The epoch of the last entry.
     pub epoch: Epoch,
--- a/crates/gradedyke-journal/src/peer.rs
+++ b/crates/gradedyke-journal/src/peer.rs
@@ -125,7 +125,9 @@
             let appends = batch.iter().map(|item| item.append.clone()).collect();
             let outcomes = match self.directory.keeper(&self.instance) {
                 Some(keeper) => self.deliver(&*keeper, appends, &batch).await,
-                None => Err(keeper::Error::Unreachable("its address is unknown".to_owned())),
+                None => Err(keeper::Error::Unreachable(
+                    "its address is unknown".to_owned(),
+                )),
             };
             self.report(batch, outcomes);
         }
--- a/crates/gradedyke-journal/src/recover.rs
+++ b/crates/gradedyke-journal/src/recover.rs
@@ -116,7 +116,9 @@
     let entries = read_all(&**best, slot).await?;
     let mut level = 1;
     for (theirs, keeper) in &sealed[1..] {
-        level += usize::from(*theirs == tail || catch_up(&**best, &***keeper, claim, i, *theirs, tail).await);
+        level += usize::from(
+            *theirs == tail || catch_up(&**best, &***keeper, claim, i, *theirs, tail).await,
+        );
     }
     if level < needed {
         return Err(Error::NoMajority);
--- a/crates/gradedyke-journal/src/rpc.rs
+++ b/crates/gradedyke-journal/src/rpc.rs
@@ -123,7 +123,9 @@
     }
 
     async fn read(&self, slot: Slot, from: Index) -> Result<Page, Error> {
-        ApiClient::read(&self.client, slot, from).await.map_err(lost)
+        ApiClient::read(&self.client, slot, from)
+            .await
+            .map_err(lost)
     }
 
     async fn trim(&self, trims: Vec<Trim>) -> Result<(), Error> {
--- a/crates/gradedyke-journal/src/store.rs
+++ b/crates/gradedyke-journal/src/store.rs
@@ -98,7 +98,11 @@
         Ok(Self { database, queue })
     }
 
-    async fn submit<T>(&self, job: Job, answer: oneshot::Receiver<Result<T, Error>>) -> Result<T, Error> {
+    async fn submit<T>(
+        &self,
+        job: Job,
+        answer: oneshot::Receiver<Result<T, Error>>,
+    ) -> Result<T, Error> {
         let stopped = || Error::Store("the store has stopped".to_owned());
         self.queue.send(job).await.map_err(|_| stopped())?;
         answer.await.map_err(|_| stopped())?
--- a/crates/gradedyke-platform/src/instances.rs
+++ b/crates/gradedyke-platform/src/instances.rs
@@ -99,7 +99,11 @@
 
 impl From<Row> for Instance {
     fn from(row: Row) -> Self {
-        let leaving = row.service.meta.get("state").is_some_and(|s| s == "leaving")
+        let leaving = row
+            .service
+            .meta
+            .get("state")
+            .is_some_and(|s| s == "leaving")
             || row.checks.iter().any(|c| c.status == "critical");
         Self {
             id: row.service.id,
--- a/crates/gradedyke-platform/src/weights.rs
+++ b/crates/gradedyke-platform/src/weights.rs
@@ -78,12 +78,12 @@
         let path = format!("/weights/{model}/{version}");
         let request = client::build(Method::HEAD, self.address, &path, body::empty())?;
         let asked = self.client.send(self.address, request);
-        let reply = tokio::time::timeout(self.time, asked)
-            .await
-            .map_err(|_| client::Error::TimedOut {
+        let reply = tokio::time::timeout(self.time, asked).await.map_err(|_| {
+            client::Error::TimedOut {
                 address: self.address,
                 time: self.time,
-            })??;
+            }
+        })??;
         match reply.status() {
             StatusCode::NOT_FOUND => Err(Error::Missing),
             StatusCode::TOO_MANY_REQUESTS => {
--- a/crates/gradedyke-standin/src/engine.rs
+++ b/crates/gradedyke-standin/src/engine.rs
@@ -165,7 +165,11 @@
 
     /// All calls that were started.
     pub fn runs(&self) -> Vec<Run> {
-        self.lock().attempts.values().map(|a| a.run.clone()).collect()
+        self.lock()
+            .attempts
+            .values()
+            .map(|a| a.run.clone())
+            .collect()
     }
 
     /// Programs for which memory is held, with the prefixes.
@@ -240,7 +244,11 @@
 
     /// Streams an attempt's text from a byte offset on.
     fn stream(self: &Arc<Self>, attempt: &str, offset: usize) -> Response<Body> {
-        let progress = self.lock().attempts.get(attempt).map(|a| a.progress.subscribe());
+        let progress = self
+            .lock()
+            .attempts
+            .get(attempt)
+            .map(|a| a.progress.subscribe());
         let Some(mut progress) = progress else {
             let message = "no such attempt here; start the call again";
             return reply::problem(&Problem::new(Kind::NotFound, message));
@@ -304,12 +312,15 @@
     }
 
     fn pin(&self, pin: &Value) -> Response<Body> {
-        let text = |name: &str| pin[name].as_str().unwrap_or_default().to_owned();
+        let holder = pin["holder"].as_str().unwrap_or_default();
+        let empty = Vec::new();
+        let keys = pin["keys"].as_array().unwrap_or(&empty).iter();
         let mut state = self.lock();
-        if !state.cache.contains_key(&text("key")) {
-            return reply::problem(&Problem::new(Kind::NotFound, "that prefix is not cached"));
+        for key in keys.filter_map(Value::as_str) {
+            if state.cache.contains_key(key) {
+                state.pins.insert((holder.to_owned(), key.to_owned()));
+            }
         }
-        state.pins.insert((text("holder"), text("key")));
         reply::json(StatusCode::OK, &json!({}))
     }
 
@@ -348,7 +359,8 @@
                 reply::json(StatusCode::OK, &news)
             }
             "/control/pins" => {
-                let pin = |(holder, key): &(String, String)| json!({ "holder": holder, "key": key });
+                let pin =
+                    |(holder, key): &(String, String)| json!({ "holder": holder, "keys": [key] });
                 let pins: Vec<_> = state.pins.iter().map(pin).collect();
                 reply::json(StatusCode::OK, &pins)
             }
@@ -382,7 +394,9 @@
             }
             "/control/pins" => self.pin(&json),
             "/control/orders" => self.order(&json),
-            "/control/cache/export" => reply::json(StatusCode::OK, &json!({ "handle": json["key"] })),
+            "/control/cache/export" => {
+                reply::json(StatusCode::OK, &json!({ "handle": json["key"] }))
+            }
             "/control/cache/import" => {
                 let key = json["key"].as_str().unwrap_or_default().to_owned();
                 let mut state = self.lock();
--- a/crates/gradedyke-standin/src/platform.rs
+++ b/crates/gradedyke-standin/src/platform.rs
@@ -318,7 +318,10 @@
             tokio::time::sleep(Duration::from_millis(slow)).await;
         }
         if platform.faults.down.load(Ordering::Relaxed) {
-            return reply::problem(&Problem::new(Kind::Unavailable, "down on request of a test"));
+            return reply::problem(&Problem::new(
+                Kind::Unavailable,
+                "down on request of a test",
+            ));
         }
         if request.method() != Method::POST {
             return platform.look_up(&path);
--- a/crates/gradedyke-standin/src/service.rs
+++ b/crates/gradedyke-standin/src/service.rs
@@ -85,7 +85,8 @@
     fn outcome(&self, key: &str) -> Response<Body> {
         match self.lock().answers.get(key) {
             Some(body) => {
-                let outcome = json!({ "status": 200, "content_type": "application/json", "body": body });
+                let outcome =
+                    json!({ "status": 200, "content_type": "application/json", "body": body });
                 reply::json(StatusCode::OK, &outcome)
             }
             None => reply::no_route(key),
@@ -104,7 +105,10 @@
             return reply::json(StatusCode::OK, &self.runs());
         }
         let key = request.headers().get("idempotency-key");
-        let key = key.and_then(|k| k.to_str().ok()).unwrap_or_default().to_owned();
+        let key = key
+            .and_then(|k| k.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
         let bytes = match body::collect(request.into_body(), BODY_BYTES, BODY).await {
             Ok(bytes) => bytes,
             Err(problem) => return reply::problem(&problem),
--- /dev/null
+++ b/crates/gradedyke/src/keeper.rs
@@ -0,0 +1,25 @@
+//! The keeper: keeps copies of the journal, on the instances that have a disk
+//! or, where there is none, in memory.
+
+use std::sync::Arc;
+
+use gradedyke_base::settings::instance::Role;
+use gradedyke_journal::rpc::{ApiServer, Service};
+use gradedyke_journal::store::Store;
+
+use crate::kernel::{Kernel, Mounts, Plugin};
+
+inventory::submit! {
+    Plugin {
+        role: Role::Keeper,
+        mount: |kernel: &Arc<Kernel>, mounts: &mut Mounts| {
+            let store = match &kernel.settings.data_folder {
+                Some(folder) => Store::open(folder)?,
+                None => Store::memory()?,
+            };
+            let keeper = Arc::new(store);
+            kernel.keepers.set_own(keeper.clone());
+            mounts.methods(Service::new(keeper).into_rpc())
+        },
+    }
+}
--- /dev/null
+++ b/crates/gradedyke/src/kernel/peers.rs
@@ -0,0 +1,81 @@
+//! The listener for peers: calls from entries, JSON-RPC, and the question
+//! whether this process lives.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use gradedyke_base::id;
+use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_http::{Body, Handler, reply};
+use gradedyke_journal::rpc::{MAX_MESSAGE, PATH};
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jsonrpsee::Methods;
+use jsonrpsee::server::{ServerConfig, StopHandle, TowerServiceBuilder};
+use tower::Service;
+
+use crate::wire::CALLS;
+
+/// Where a peer asks whether an instance lives.
+const LIVES: &str = "/lives/";
+
+/// The listener for peers.
+pub(super) struct Peers {
+    id: id::Instance,
+    calls: Option<Arc<dyn Handler>>,
+    methods: Methods,
+    stop: StopHandle,
+    builder: TowerServiceBuilder<tower::layer::util::Identity, tower::layer::util::Identity>,
+}
+
+impl Peers {
+    pub(super) fn new(
+        id: id::Instance,
+        calls: Option<Arc<dyn Handler>>,
+        methods: Methods,
+        stop: StopHandle,
+    ) -> Self {
+        let config = ServerConfig::builder()
+            .max_request_body_size(MAX_MESSAGE)
+            .max_response_body_size(MAX_MESSAGE)
+            .http_only()
+            .build();
+        let builder = jsonrpsee::server::Server::builder()
+            .set_config(config)
+            .to_service_builder();
+        Self {
+            id,
+            calls,
+            methods,
+            stop,
+            builder,
+        }
+    }
+
+    async fn rpc(&self, request: Request<Incoming>) -> Response<Body> {
+        let builder = self.builder.clone();
+        let mut service = builder.build(self.methods.clone(), self.stop.clone());
+        match service.call(request).await {
+            Ok(reply) => reply.map(|body| body.map_err(Into::into).boxed_unsync()),
+            Err(error) => reply::problem(&Problem::new(Kind::Internal, error.to_string())),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Peers {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path();
+        if path == PATH {
+            return self.rpc(request).await;
+        }
+        if let Some(name) = path.strip_prefix(LIVES) {
+            return reply::json(StatusCode::OK, &(name == self.id.as_str()));
+        }
+        match &self.calls {
+            Some(calls) if path == CALLS => calls.handle(request).await,
+            _ => reply::no_route(path),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradedyke/src/owner/accept.rs
@@ -0,0 +1,281 @@
+//! Takes calls in from entries and streams their answers back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use gradedyke_base::id;
+use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_base::settings::tree::Effective;
+use gradedyke_http::body::{self, Sender};
+use gradedyke_http::{Body, Handler, reply};
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::answer::{Answer, End};
+use super::holding::Holding;
+use super::run::{self, Context};
+use super::session::{Arrival, Session};
+use super::{Owner, moving};
+use crate::program::state::Key;
+use crate::wire::{Call, Frame, MAX_FRAME, MODEL, Outcome, Work};
+
+/// Longest time for a call to arrive from an entry.
+const ARRIVAL: Duration = Duration::from_secs(30);
+/// Chunks that may wait for a slow entry; the text itself waits in the answer.
+const CHUNKS: usize = 2;
+
+/// The listener for calls from entries.
+pub struct Calls {
+    owner: Arc<Owner>,
+}
+
+impl Calls {
+    /// Calls to `owner`.
+    pub fn new(owner: Arc<Owner>) -> Self {
+        Self { owner }
+    }
+
+    async fn take(&self, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
+        let bytes = body::collect(request.into_body(), MAX_FRAME, ARRIVAL).await?;
+        let call: Call = reply::parse(&bytes)?;
+        let answer = self.owner.accept(&call, Instant::now())?;
+        let offset = check_offset(&answer, &call)?;
+        let (sender, body) = body::channel(CHUNKS);
+        let mut reply = Response::new(body);
+        if let Ok(model) = HeaderValue::from_str(&answer.model) {
+            reply.headers_mut().insert(MODEL, model);
+        }
+        tokio::spawn(stream(answer, offset, call.whole, sender));
+        Ok(reply)
+    }
+}
+
+#[async_trait]
+impl Handler for Calls {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        match self.take(request).await {
+            Ok(reply) => reply,
+            Err(problem) => reply::problem(&problem),
+        }
+    }
+}
+
+impl Owner {
+    /// Takes a call in: returns its answer, which may be under way already.
+    ///
+    /// # Errors
+    ///
+    /// The problem for the caller; the call did not run.
+    pub fn accept(self: &Arc<Self>, call: &Call, now: Instant) -> Result<Arc<Answer>, Problem> {
+        let holding = self.holding(call.program.slot())?;
+        let session = holding.find(&call.account, &call.program)?;
+        let key = session
+            .find(&call.program)
+            .ok_or_else(super::holding::unknown)?;
+        session.touch(now);
+        let Some(work) = &call.work else {
+            return session.known(key, &call.request).ok_or_else(not_issued);
+        };
+        let fingerprint = fingerprint(work)?;
+        if session.known(key, &call.request).is_none() {
+            self.check(&holding, &session, key, work)?;
+        }
+        let new = || {
+            let model = work.model().to_owned();
+            Answer::new(fingerprint.clone(), model, holding.stop.child_token())
+        };
+        let arrival = session.arrive(key, &call.request, call.sequence, &fingerprint, new)?;
+        match arrival {
+            Arrival::Known(answer) => Ok(answer),
+            Arrival::New(answer, ticket) => {
+                if holding.closing() {
+                    // The slot began to close after it was looked at; either
+                    // this is seen here, or the call is seen there.
+                    session.finish(key, &call.request, ticket, End::Moved, false);
+                    return Err(moving());
+                }
+                let effective = self.effective(&session, key)?;
+                let context = Context {
+                    owner: self.clone(),
+                    holding,
+                    session,
+                    key,
+                    program: call.program.clone(),
+                    request: call.request.clone(),
+                    ticket,
+                    answer: answer.clone(),
+                    effective,
+                    came: now,
+                };
+                self.tasks.spawn(run::run(context, work.clone()));
+                Ok(answer)
+            }
+        }
+    }
+
+    /// The settings of a program's agent program.
+    pub(super) fn effective(&self, session: &Session, key: Key) -> Result<Effective, Problem> {
+        let agent = session.read(key, |p| p.agent.clone()).unwrap_or_default();
+        let tree = self.current.get();
+        tree.tree.agent(&session.account, &agent).ok_or_else(|| {
+            let message = format!("agent program {agent} is not in the settings any more");
+            let message = format!("{message}; ask your operator to restore it");
+            Problem::new(Kind::Forbidden, message)
+        })
+    }
+
+    /// Whether a new call may be issued.
+    fn check(
+        &self,
+        holding: &Holding,
+        session: &Session,
+        key: Key,
+        work: &Work,
+    ) -> Result<(), Problem> {
+        if holding.closing() {
+            return Err(moving());
+        }
+        let ended = session.read(key, |p| p.ended.is_some()).unwrap_or(true);
+        if ended {
+            let message = "the program has ended; open a new one";
+            let mut problem = Problem::new(Kind::Ended, message);
+            problem.not_run = true;
+            return Err(problem);
+        }
+        let effective = self.effective(session, key)?;
+        let turns = session.read(key, |p| p.answers.len()).unwrap_or(0);
+        if turns >= effective.max_turns as usize {
+            let message = format!(
+                "the program has issued {turns} calls, its limit; end it and open a new one"
+            );
+            return Err(Problem::new(Kind::Overloaded, message));
+        }
+        match work {
+            Work::Chat { request, .. } => {
+                request.check()?;
+                allowed("model", &request.model, &effective.models)
+            }
+            Work::Service { service, .. } => allowed("service", service, &effective.services),
+        }
+    }
+}
+
+fn allowed(what: &str, name: &str, names: &[String]) -> Result<(), Problem> {
+    if names.iter().any(|n| n == name) {
+        return Ok(());
+    }
+    let message = format!(
+        "{what} {name} is not open to this agent program; it may use: {}",
+        names.join(", ")
+    );
+    Err(Problem::new(Kind::NotFound, message))
+}
+
+fn not_issued() -> Problem {
+    let message = "no such request in this program; issue the call first";
+    Problem::new(Kind::NotFound, message)
+}
+
+/// What tells one call from another under the same request id. Whether the
+/// answer is streamed is no difference.
+fn fingerprint(work: &Work) -> Result<String, Problem> {
+    let mut work = work.clone();
+    if let Work::Chat { request, .. } = &mut work {
+        request.stream = false;
+        request.rest.remove("stream_options");
+    }
+    let bytes = serde_json::to_vec(&work).map_err(|e| {
+        let message = format!("the call cannot be written ({e}); report this");
+        Problem::new(Kind::Internal, message)
+    })?;
+    Ok(blake3::hash(&bytes).to_hex()[..32].to_owned())
+}
+
+/// Checks that the text the caller has is the text that is here.
+fn check_offset(answer: &Answer, call: &Call) -> Result<usize, Problem> {
+    let offset = usize::try_from(call.offset).unwrap_or(usize::MAX);
+    let (true, Some(seen)) = (offset > 0, &call.seen) else {
+        return Ok(offset);
+    };
+    match answer.hash(offset) {
+        Some(hash) if hash != *seen => {
+            let message = "the answer had to be started anew and differs from what you have; \
+                           fetch it whole with the same request id";
+            Err(Problem::new(Kind::BackendFailed, message))
+        }
+        // The new owner has not come as far yet; the text is checked again
+        // when the stream gets there.
+        _ => Ok(offset),
+    }
+}
+
+/// Streams an answer from `offset` on.
+async fn stream(answer: Arc<Answer>, offset: usize, whole: bool, sender: Sender) {
+    let mut changes = answer.subscribe();
+    let mut offset = offset;
+    loop {
+        changes.borrow_and_update();
+        let end = if whole {
+            answer.end()
+        } else {
+            match next(&answer, &mut offset, &sender).await {
+                Ok(end) => end,
+                Err(Gone) => return,
+            }
+        };
+        match end {
+            Some(End::Outcome(outcome)) => {
+                let _ = send(&sender, &Frame::end(&outcome)).await;
+                return;
+            }
+            Some(End::Moved) => {
+                let _ = sender.send(Err("the program's owner changed".into())).await;
+                return;
+            }
+            None => {}
+        }
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return },
+            () = sender.closed() => return,
+        }
+    }
+}
+
+/// The reader has gone.
+struct Gone;
+
+/// Sends the text that has come since `offset`.
+async fn next(answer: &Answer, offset: &mut usize, sender: &Sender) -> Result<Option<End>, Gone> {
+    let Some(news) = answer.since(*offset) else {
+        // The reader is ahead: the answer is being resumed here. Unless it has
+        // ended shorter, wait until it gets there.
+        return Ok(answer.end());
+    };
+    if !news.text.is_empty() {
+        let at = *offset as u64;
+        *offset += news.text.len();
+        send(sender, &Frame::Text(at, news.text)).await?;
+    }
+    Ok(news.end)
+}
+
+async fn send(sender: &Sender, frame: &Frame) -> Result<(), Gone> {
+    let bytes = frame.encode().unwrap_or_else(|error| {
+        tracing::error!(event = "frame_not_sent", %error);
+        Bytes::new()
+    });
+    sender.send(Ok(bytes)).await.map_err(|_| Gone)
+}
+
+/// The problem that ends a call, as its outcome.
+pub(super) fn failed(problem: Problem) -> End {
+    End::Outcome(Outcome::Failed(problem))
+}
+
+/// A request's name towards backend servers, the same for every attempt.
+pub(super) fn idempotency_key(program: &id::Program, request: &id::Request) -> String {
+    format!("{program}:{request}")
+}
--- /dev/null
+++ b/crates/gradedyke/src/owner/chat.rs
@@ -0,0 +1,494 @@
+//! A model call: route, send, stream, and go on elsewhere when an engine fails.
+//!
+//! A model call may be repeated, since it changes nothing but the engine's
+//! cache. Each further attempt reserves its own worst case, because a lost one
+//! may have spent all of its own.
+
+use std::time::Duration;
+
+use gradedyke_backend::Error;
+use gradedyke_backend::chat::{self, Chunk, Completion, Message, Usage};
+use gradedyke_backend::engine::{Call, Chunks, Pin};
+use gradedyke_backend::prefix::Chain;
+use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_base::settings::tree::Class;
+use tokio::time::Instant;
+
+use super::run::{Context, Finished, Stop, cancelled};
+use super::session::Conversation;
+use crate::program::record::Intent;
+use crate::retry::Backoff;
+use crate::routing::Question;
+use crate::routing::fleet::{Choice, Key, Link};
+use crate::wire::{History, Outcome, Work};
+
+/// First wait before another attempt.
+const RETRY_FIRST: Duration = Duration::from_millis(50);
+/// Longest such wait.
+const RETRY_LAST: Duration = Duration::from_secs(2);
+/// Attempts after the first.
+const RETRIES: u32 = 8;
+/// Times that a cut stream is resumed at the same engine.
+const RESUMES: u32 = 2;
+/// When to come back where no engine can be reached.
+const COME_BACK: Duration = Duration::from_secs(2);
+/// Bytes that make a token, for estimates that only guide routing.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Priority of batch work towards engines; staff work has 0.
+const BATCH_PRIORITY: i32 = 10;
+
+/// A call that is ready to be sent.
+struct Ready {
+    call: Call,
+    tokens: Vec<u64>,
+    reserved: u64,
+    max_tokens: u64,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    /// The answer is whole.
+    Whole(Completion, Option<Usage>),
+    /// It certainly did not run.
+    NotRun(Error),
+    /// The call itself is at fault.
+    Invalid(Error),
+    /// It may have run, and its answer is lost.
+    Lost(Error),
+    /// It gives another answer than the one that readers have begun to read.
+    Differs,
+}
+
+/// Runs a new model call.
+pub(super) async fn call(
+    context: &Context,
+    request: &chat::Request,
+    history: History,
+) -> Result<Finished, Stop> {
+    let max_tokens = request.limit().unwrap_or(context.effective.max_tokens);
+    let conversation = context
+        .session
+        .converse(context.key, request, history, max_tokens)?;
+    let ready = prepare(context, request, &conversation);
+    let first = choose(context, &ready, &[], Instant::now());
+    let mut new = request.clone();
+    new.messages = conversation.new;
+    let intent = Intent {
+        work: Work::Chat {
+            request: new,
+            history: History::Append,
+        },
+        fingerprint: context.answer.fingerprint.clone(),
+        backend: first.as_ref().map(|choice| choice.id.clone()),
+        attempt: ready.call.attempt.clone(),
+        reserved: ready.reserved,
+    };
+    if let Err(stop) = context.intend(intent).await {
+        first.inspect(|choice| context.owner.fleet.unbook(choice.key, ready.max_tokens));
+        context.session.settle(ready.reserved, 0);
+        return Err(stop);
+    }
+    attempts(context, ready, first, 0).await
+}
+
+/// Goes on with a model call that an earlier owner had sent. Its worst case has
+/// been reserved with the session.
+pub(super) async fn take_up(
+    context: &Context,
+    request: &chat::Request,
+    intent: &Intent,
+) -> Result<Finished, Stop> {
+    let max_tokens = request.limit().unwrap_or(context.effective.max_tokens);
+    let history = context.session.read(context.key, |p| p.history.clone());
+    let mut whole: Vec<Message> = history.unwrap_or_default();
+    whole.extend(request.messages.iter().cloned());
+    let conversation = Conversation {
+        new: request.messages.clone(),
+        whole,
+        reserved: intent.reserved,
+        max_tokens,
+    };
+    let ready = prepare(context, request, &conversation);
+    let engine = intent.backend.as_ref();
+    let sent_to = engine.and_then(|id| context.owner.fleet.find(id));
+    if let Some(choice) = sent_to {
+        let resumed = resume(context, &choice, &intent.attempt, 1).await;
+        if let Attempt::Whole(completion, usage) = resumed {
+            return Ok(whole_answer(context, &ready, completion, usage, 0));
+        }
+        release_attempt(context, &choice, &intent.attempt);
+    }
+    if let Some(end) = lose(context, &ready, ready.reserved) {
+        return Ok(end);
+    }
+    let first = choose(context, &ready, &[], Instant::now());
+    let lost = ready.reserved;
+    attempts(context, ready, first, lost).await
+}
+
+fn prepare(context: &Context, request: &chat::Request, conversation: &Conversation) -> Ready {
+    let account = &context.session.account;
+    let chain = Chain::over(account, &request.model, &conversation.whole);
+    let tokens = conversation.whole.iter().map(estimate).collect();
+    let mut sent = request.clone();
+    sent.messages.clone_from(&conversation.whole);
+    sent.stream = true;
+    sent.max_completion_tokens = None;
+    sent.max_tokens = Some(conversation.max_tokens);
+    sent.rest.remove("stream_options");
+    let priority = match context.effective.class {
+        Class::Staff => 0,
+        Class::Batch => BATCH_PRIORITY,
+    };
+    Ready {
+        call: Call {
+            attempt: attempt(context, 0),
+            request: sent,
+            chain,
+            priority,
+        },
+        tokens,
+        reserved: conversation.reserved,
+        max_tokens: conversation.max_tokens,
+    }
+}
+
+/// The name of an attempt: no two have the same, also across owners.
+fn attempt(context: &Context, number: u32) -> String {
+    let Context {
+        program, request, ..
+    } = context;
+    format!(
+        "{program}:{request}:{}:{number}",
+        context.holding.log.epoch()
+    )
+}
+
+fn estimate(message: &Message) -> u64 {
+    let bytes: usize = message.values().map(|v| v.to_string().len()).sum();
+    bytes as u64 / BYTES_PER_TOKEN + 1
+}
+
+/// Chooses an engine and books the call there.
+fn choose(context: &Context, ready: &Ready, avoid: &[Key], now: Instant) -> Option<Choice> {
+    let owner = &context.owner;
+    let chain = ready.call.chain.keys();
+    let model = ready.call.chain.model();
+    let candidates = owner.fleet.engines(model, chain, &ready.tokens, avoid, now);
+    let question = Question {
+        prompt_tokens: ready.tokens.iter().sum(),
+        answer_tokens: ready.max_tokens,
+        now,
+    };
+    let policy = owner
+        .policies
+        .get(context.effective.routing.as_str())
+        .or_else(|| owner.policies.get("prefix"))?;
+    let place = policy.choose(&question, &candidates)?;
+    let key = candidates.get(place)?.key;
+    owner
+        .fleet
+        .book(key, chain, &ready.tokens, ready.max_tokens)
+}
+
+/// Makes attempts until one is whole, the deadline comes, or none is left. The
+/// worst case of the next attempt is reserved at every turn of the loop; `lost`
+/// tokens are spent already.
+async fn attempts(
+    context: &Context,
+    mut ready: Ready,
+    first: Option<Choice>,
+    mut lost: u64,
+) -> Result<Finished, Stop> {
+    let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LAST, RETRIES);
+    let mut choice = first;
+    let mut avoid = Vec::new();
+    let mut number = 0;
+    loop {
+        let failed = match choice {
+            Some(chosen) => {
+                let attempt = one(context, &ready, &chosen).await;
+                context.owner.fleet.unbook(chosen.key, ready.max_tokens);
+                avoid.push(chosen.key);
+                match attempt {
+                    Attempt::Whole(completion, usage) => {
+                        keep_prefix(context, &ready, &chosen).await;
+                        return Ok(whole_answer(context, &ready, completion, usage, lost));
+                    }
+                    Attempt::Invalid(error) => {
+                        let problem = Problem::new(Kind::BadRequest, error.to_string());
+                        return give_back(context, &ready, problem, lost).await;
+                    }
+                    Attempt::NotRun(error) => error,
+                    Attempt::Lost(error) => {
+                        release_attempt(context, &chosen, &ready.call.attempt);
+                        lost += ready.reserved;
+                        if let Some(end) = lose(context, &ready, lost) {
+                            return Ok(end);
+                        }
+                        error
+                    }
+                    Attempt::Differs => {
+                        release_attempt(context, &chosen, &ready.call.attempt);
+                        lost += ready.reserved;
+                        context.session.settle(ready.reserved, ready.reserved);
+                        let message = "the engine failed in the middle of the answer and another \
+                                       one answers differently; issue the call anew";
+                        return Ok(failure(Problem::new(Kind::BackendFailed, message), lost));
+                    }
+                }
+            }
+            None => Error::NotSent("no backend server takes this model's calls now".to_owned()),
+        };
+        tracing::warn!(event = "attempt_failed", program = %context.program,
+            request = %context.request, number, error = %failed);
+        let Some(wait) = backoff.wait(rand::random()) else {
+            return exhausted(context, &ready, &failed, lost).await;
+        };
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = context.answer.cancel.cancelled() => {
+                return give_back(context, &ready, cancelled(), lost).await;
+            }
+            () = tokio::time::sleep_until(context.deadline()) => {
+                return exhausted(context, &ready, &failed, lost).await;
+            }
+        }
+        number += 1;
+        ready.call.attempt = attempt(context, number);
+        let now = Instant::now();
+        choice = choose(context, &ready, &avoid, now).or_else(|| {
+            // All have failed once; any of them may be well again.
+            avoid.clear();
+            choose(context, &ready, &avoid, now)
+        });
+    }
+}
+
+/// Takes a lost attempt as spent whole and reserves the next one. Returns the
+/// end of the call when there can be no next one.
+fn lose(context: &Context, ready: &Ready, lost: u64) -> Option<Finished> {
+    context.session.settle(ready.reserved, ready.reserved);
+    if context.answer.cancel.is_cancelled() {
+        let message = "the program was ended or cancelled while this call ran; open a new one";
+        return Some(failure(Problem::new(Kind::Ended, message), lost));
+    }
+    if Instant::now() >= context.deadline() {
+        let message = "the call took longer than its time; ask for less, or have call_ms raised";
+        return Some(failure(Problem::new(Kind::DeadlineExceeded, message), lost));
+    }
+    match context.session.reserve(ready.reserved) {
+        Ok(()) => None,
+        Err(problem) => Some(failure(problem.may_have_run(), lost)),
+    }
+}
+
+/// Makes one attempt, cancelled by the caller, by the end of the program or by
+/// the deadline.
+async fn one(context: &Context, ready: &Ready, choice: &Choice) -> Attempt {
+    let Link::Engine(engine) = &choice.link else {
+        return Attempt::NotRun(Error::NotSent("not an engine".to_owned()));
+    };
+    let fleet = &context.owner.fleet;
+    let exchange = async {
+        let chunks = match engine.chat(&ready.call).await {
+            Ok(chunks) => chunks,
+            Err(error) => return classify(error),
+        };
+        context.answer.restart();
+        match read(context, chunks, 0).await {
+            Ok(attempt) => attempt,
+            Err(_) => resume(context, choice, &ready.call.attempt, RESUMES).await,
+        }
+    };
+    let attempt = tokio::select! {
+        attempt = exchange => attempt,
+        () = context.answer.cancel.cancelled() => {
+            Attempt::Lost(Error::Broken("cancelled".to_owned()))
+        }
+        () = tokio::time::sleep_until(context.deadline()) => {
+            Attempt::Lost(Error::Broken("the deadline passed".to_owned()))
+        }
+    };
+    match &attempt {
+        Attempt::Whole(..) => fleet.succeeded(choice.key),
+        Attempt::NotRun(_) | Attempt::Lost(_) => fleet.failed(choice.key, Instant::now()),
+        Attempt::Invalid(_) | Attempt::Differs => {}
+    }
+    attempt
+}
+
+fn classify(error: Error) -> Attempt {
+    match error {
+        Error::Invalid { .. } => Attempt::Invalid(error),
+        Error::Broken(_) => Attempt::Lost(error),
+        _ => Attempt::NotRun(error),
+    }
+}
+
+/// Resumes a cut stream at the engine that has it.
+async fn resume(context: &Context, choice: &Choice, attempt: &str, tries: u32) -> Attempt {
+    let Link::Engine(engine) = &choice.link else {
+        return Attempt::NotRun(Error::NotSent("not an engine".to_owned()));
+    };
+    let mut error = Error::Broken("the stream was cut".to_owned());
+    for _ in 0..tries {
+        let offset = context.answer.len();
+        let resumed = match engine.resume(attempt, offset as u64).await {
+            Ok(chunks) => read(context, chunks, offset).await,
+            Err(e) => Err(e),
+        };
+        match resumed {
+            Ok(attempt) => return attempt,
+            Err(e) => error = e,
+        }
+    }
+    Attempt::Lost(error)
+}
+
+/// Reads a stream, whose text begins at `position`, to its end into the answer.
+async fn read(
+    context: &Context,
+    mut chunks: Box<dyn Chunks>,
+    mut position: usize,
+) -> Result<Attempt, Error> {
+    let mut completion = Completion::default();
+    let mut usage = None;
+    while let Some(chunk) = chunks.next().await? {
+        let Chunk {
+            choices,
+            usage: counted,
+        } = chunk;
+        usage = counted.or(usage);
+        for choice in choices {
+            let text = choice.delta.content.unwrap_or_default();
+            if !text.is_empty() && context.answer.is_empty() {
+                first_token(context);
+            }
+            if !context.answer.write(position, &text) {
+                return Ok(Attempt::Differs);
+            }
+            position += text.len();
+            for part in choice.delta.tool_calls.unwrap_or_default() {
+                completion.merge_tool_call(part);
+            }
+            if let Some(reason) = choice.finish_reason {
+                completion.finish_reason = reason;
+            }
+        }
+    }
+    completion.content = context.answer.text();
+    if position < completion.content.len() {
+        return Ok(Attempt::Differs);
+    }
+    Ok(Attempt::Whole(completion, usage))
+}
+
+fn first_token(context: &Context) {
+    let account = context.session.account.to_string();
+    let class = context.effective.class.name();
+    metrics::histogram!("gradedyke_first_token_seconds", "account" => account, "class" => class)
+        .record(context.came.elapsed().as_secs_f64());
+}
+
+/// The end of a call whose answer is whole.
+fn whole_answer(
+    context: &Context,
+    ready: &Ready,
+    mut completion: Completion,
+    usage: Option<Usage>,
+    lost: u64,
+) -> Finished {
+    ready.call.chain.model().clone_into(&mut completion.model);
+    // An engine that does not count is taken to have spent the worst case.
+    completion.usage = usage.unwrap_or(Usage {
+        prompt_tokens: ready.reserved - ready.max_tokens,
+        completion_tokens: ready.max_tokens,
+        total_tokens: ready.reserved,
+        prompt_tokens_details: None,
+    });
+    let spent = completion.usage.total_tokens;
+    context.session.settle(ready.reserved, spent);
+    Finished {
+        outcome: Outcome::Chat(completion),
+        spent: spent + lost,
+    }
+}
+
+fn failure(problem: Problem, spent: u64) -> Finished {
+    Finished {
+        outcome: Outcome::Failed(problem),
+        spent,
+    }
+}
+
+/// Ends a call of which no attempt is under way, and gives its reservation
+/// back. Where an earlier attempt may have run, that is the call's outcome.
+async fn give_back(
+    context: &Context,
+    ready: &Ready,
+    problem: Problem,
+    lost: u64,
+) -> Result<Finished, Stop> {
+    context.session.settle(ready.reserved, 0);
+    if lost > 0 {
+        return Ok(failure(problem.may_have_run(), lost));
+    }
+    Err(context.withdraw(problem).await)
+}
+
+/// Ends a call for which no attempt is left.
+async fn exhausted(
+    context: &Context,
+    ready: &Ready,
+    error: &Error,
+    lost: u64,
+) -> Result<Finished, Stop> {
+    let message = format!("no backend server ran the call ({error}); send it again later");
+    let kind = match lost {
+        0 => Kind::Unavailable,
+        _ => Kind::BackendFailed,
+    };
+    let problem = Problem::new(kind, message).retry_after(COME_BACK);
+    give_back(context, ready, problem, lost).await
+}
+
+/// Cancels a lost attempt in the background, so that it stops spending.
+fn release_attempt(context: &Context, choice: &Choice, attempt: &str) {
+    let Link::Engine(engine) = choice.link.clone() else {
+        return;
+    };
+    let attempt = attempt.to_owned();
+    let stop = context.owner.stop.clone();
+    tokio::spawn(async move {
+        let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LAST, RETRIES);
+        while engine.cancel(&attempt).await.is_err() {
+            let Some(wait) = backoff.wait(rand::random()) else {
+                return;
+            };
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = stop.cancelled() => return,
+            }
+        }
+    });
+}
+
+/// Keeps the prompt's prefix in the engine's memory while the program lives.
+async fn keep_prefix(context: &Context, ready: &Ready, choice: &Choice) {
+    let Link::Engine(engine) = &choice.link else {
+        return;
+    };
+    let ended = context.session.read(context.key, |p| p.ended.is_some());
+    if ended.unwrap_or(true) || context.answer.cancel.is_cancelled() {
+        return;
+    }
+    let pin = Pin {
+        holder: context.program.clone(),
+        keys: ready.call.chain.keys().to_vec(),
+    };
+    context.session.hold(context.key, choice.key);
+    if let Err(error) = engine.pin(&pin).await {
+        tracing::debug!(event = "pin_failed", program = %context.program, %error);
+    }
+}
--- /dev/null
+++ b/crates/gradedyke/src/owner/mod.rs
@@ -0,0 +1,154 @@
+//! The owner: orders the calls of the programs it owns, keeps their history and
+//! budget, routes and dispatches to backend servers.
+//!
+//! Each slot that the map gives to this process becomes a [`holding::Holding`],
+//! recovered from the journal; each tree of programs in it is a
+//! [`session::Session`]. A call runs in a task of its own, written straight
+//! down in [`run`], and outlives the connection that brought it, so a caller
+//! may come back for the rest from any entry.
+
+pub mod accept;
+pub mod answer;
+mod chat;
+pub mod holding;
+mod poll;
+pub mod rpc;
+mod run;
+pub mod session;
+mod sweep;
+mod takeover;
+mod tool;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use gradedyke_base::id::{self, Slot};
+use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_base::settings::instance::Role;
+use gradedyke_journal::Journal;
+use gradedyke_platform::kv::KeyValue;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::current::Current;
+use crate::kernel::{self, Kernel, Mounts};
+use crate::membership::Members;
+use crate::ownership::map::Map;
+use crate::routing::fleet::Fleet;
+use crate::routing::{self, Policy};
+use holding::Holding;
+
+/// When to come back to a slot that changes its owner.
+const MOVING_RETRY: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// The owner role of one process.
+pub struct Owner {
+    id: id::Instance,
+    kv: Arc<dyn KeyValue>,
+    members: Arc<Members>,
+    map: Arc<Map>,
+    current: Arc<Current>,
+    fleet: Arc<Fleet>,
+    policies: BTreeMap<&'static str, Arc<dyn Policy>>,
+    journal: Arc<Journal>,
+    holdings: Mutex<HashMap<Slot, Arc<Holding>>>,
+    /// Number of slots served, for whoever waits for it.
+    served: watch::Sender<usize>,
+    draining: CancellationToken,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Owner {
+    /// The owner role over what `kernel` holds.
+    pub fn new(kernel: &Kernel) -> Arc<Self> {
+        Arc::new(Self {
+            id: kernel.settings.id.clone(),
+            kv: kernel.kv.clone(),
+            members: kernel.members.clone(),
+            map: kernel.map.clone(),
+            current: kernel.current.clone(),
+            fleet: Arc::new(Fleet::new(&kernel.settings.data_centre)),
+            policies: routing::policies(),
+            journal: kernel.journal.clone(),
+            holdings: Mutex::default(),
+            served: watch::Sender::new(0),
+            draining: kernel.drain.clone(),
+            stop: kernel.stop.clone(),
+            tasks: TaskTracker::new(),
+        })
+    }
+
+    /// Starts the tasks of the role.
+    pub fn start(self: &Arc<Self>, kernel: &Kernel) {
+        let assigner = crate::ownership::assign::Assigner::new(
+            self.kv.clone(),
+            self.members.clone(),
+            self.map.clone(),
+            kernel.settings.copies,
+        );
+        tokio::spawn(assigner.run(self.stop.clone()));
+        tokio::spawn(takeover::run(self.clone()));
+        tokio::spawn(sweep::run(self.clone()));
+        tokio::spawn(poll::run(self.clone(), kernel.instances.clone()));
+    }
+
+    /// The holding of a slot that is served here.
+    ///
+    /// # Errors
+    ///
+    /// `moving` when it is not, or not any more.
+    pub fn holding(&self, slot: Slot) -> Result<Arc<Holding>, Problem> {
+        let holding = lock(&self.holdings).get(&slot).cloned();
+        holding
+            .filter(|h| !h.stop.is_cancelled())
+            .ok_or_else(moving)
+    }
+
+    fn all(&self) -> Vec<Arc<Holding>> {
+        lock(&self.holdings).values().cloned().collect()
+    }
+
+    /// Number of slots served here.
+    pub fn serves(&self) -> usize {
+        lock(&self.holdings).len()
+    }
+
+    /// Waits until every slot has been handed over and every call has ended.
+    pub async fn drained(&self) {
+        let mut served = self.served.subscribe();
+        let none = served.wait_for(|slots| *slots == 0);
+        if none.await.is_ok() {
+            self.tasks.close();
+            self.tasks.wait().await;
+        }
+    }
+}
+
+/// The problem of a slot that changes its owner.
+pub fn moving() -> Problem {
+    let message = "the program's owner is changing; send the request again with the same id";
+    Problem::new(Kind::Moving, message).retry_after(MOVING_RETRY)
+}
+
+inventory::submit! {
+    kernel::Plugin {
+        role: Role::Owner,
+        mount: |kernel: &Arc<Kernel>, mounts: &mut Mounts| {
+            let owner = Owner::new(kernel);
+            owner.start(kernel);
+            mounts.methods(rpc::methods(owner.clone()))?;
+            mounts.calls(Arc::new(accept::Calls::new(owner.clone())));
+            mounts.on_drain(move || {
+                let owner = owner.clone();
+                Box::pin(async move { owner.drained().await })
+            });
+            Ok(())
+        },
+    }
+}
--- /dev/null
+++ b/crates/gradedyke/src/owner/poll.rs
@@ -0,0 +1,119 @@
+//! Watches backend servers: one task for each engine, and one for the platform's
+//! instance list.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use gradedyke_backend::Engine;
+use gradedyke_base::id;
+use gradedyke_platform::instances::{Instances, State};
+use tokio_util::sync::CancellationToken;
+
+use super::Owner;
+use crate::routing::fleet::Key;
+
+/// How often an engine's load and cache events are read.
+const LOAD: Duration = Duration::from_millis(250);
+/// How often an engine is asked what it holds, in rounds of [`LOAD`].
+const PINS_EVERY: u32 = 8;
+/// How often the instance list is read.
+const LIST: Duration = Duration::from_secs(1);
+/// The name under which the platform lists backend servers.
+const BACKENDS: &str = "backends";
+
+/// Keeps a task for each engine of the settings in force until the process
+/// stops.
+pub(super) async fn run(owner: Arc<Owner>, instances: Option<Arc<dyn Instances>>) {
+    if let Some(instances) = instances {
+        tokio::spawn(follow_list(owner.clone(), instances));
+    }
+    let mut revision = owner.current.subscribe();
+    let mut polls: HashMap<Key, CancellationToken> = HashMap::new();
+    loop {
+        revision.borrow_and_update();
+        owner.fleet.update(&owner.current.get().tree);
+        let engines = owner.fleet.all_engines();
+        polls.retain(|key, stop| {
+            let stays = engines.iter().any(|(k, ..)| k == key);
+            if !stays {
+                stop.cancel();
+            }
+            stays
+        });
+        for (key, id, engine) in engines {
+            polls.entry(key).or_insert_with(|| {
+                let stop = owner.stop.child_token();
+                tokio::spawn(poll(owner.clone(), key, id, engine, stop.clone()));
+                stop
+            });
+        }
+        tokio::select! {
+            changed = revision.changed() => if changed.is_err() { return },
+            () = owner.stop.cancelled() => return,
+        }
+    }
+}
+
+async fn poll(
+    owner: Arc<Owner>,
+    key: Key,
+    id: id::Backend,
+    engine: Arc<dyn Engine>,
+    stop: CancellationToken,
+) {
+    let mut round = 0;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(LOAD) => {}
+            () = stop.cancelled() => return,
+        }
+        match engine.load().await {
+            Ok(load) => owner.fleet.report(key, load),
+            Err(error) => {
+                tracing::debug!(event = "load_not_read", backend = %id, %error);
+                continue;
+            }
+        }
+        if let Ok(events) = engine.cache_events(owner.fleet.last_event(key)).await {
+            owner.fleet.cache_events(key, &events);
+        }
+        round += 1;
+        if round % PINS_EVERY == 0 {
+            reconcile(&owner, &id, &*engine).await;
+        }
+    }
+}
+
+/// Releases what an engine holds for programs of this owner that have ended,
+/// whoever had it pinned: an earlier owner may have died before it released it.
+async fn reconcile(owner: &Owner, id: &id::Backend, engine: &dyn Engine) {
+    let Ok(pins) = engine.pins().await else {
+        return;
+    };
+    let holders: BTreeSet<_> = pins.into_iter().map(|pin| pin.holder).collect();
+    for holder in holders.iter().filter(|holder| owner.is_over(holder)) {
+        match engine.release(holder).await {
+            Ok(()) => tracing::info!(event = "memory_released", backend = %id, program = %holder),
+            Err(error) => {
+                tracing::warn!(event = "release_failed", backend = %id, program = %holder, %error);
+            }
+        }
+    }
+}
+
+async fn follow_list(owner: Arc<Owner>, instances: Arc<dyn Instances>) {
+    loop {
+        match instances.list(BACKENDS).await {
+            Ok(list) => {
+                let leaving = list.into_iter().filter(|i| i.state == State::Leaving);
+                owner.fleet.leaving(&leaving.map(|i| i.id).collect());
+            }
+            Err(error) => tracing::warn!(event = "instance_list_not_read", %error),
+        }
+        tokio::select! {
+            () = tokio::time::sleep(LIST) => {}
+            () = owner.stop.cancelled() => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradedyke/src/owner/run.rs
@@ -0,0 +1,222 @@
+//! One call, from its turn to its end, written straight down.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gradedyke_base::id;
+use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_base::settings::tree::Effective;
+use tokio::time::Instant;
+
+use super::answer::{Answer, End};
+use super::holding::Holding;
+use super::session::{Session, Ticket};
+use super::{Owner, accept, chat, moving, tool};
+use crate::program::record::{Intent, Record};
+use crate::program::state::Key;
+use crate::wire::{Outcome, Work};
+
+/// All that a call needs on its way.
+pub(super) struct Context {
+    pub owner: Arc<Owner>,
+    pub holding: Arc<Holding>,
+    pub session: Arc<Session>,
+    pub key: Key,
+    pub program: id::Program,
+    pub request: id::Request,
+    pub ticket: Ticket,
+    pub answer: Arc<Answer>,
+    pub effective: Effective,
+    pub came: Instant,
+}
+
+/// Why a call ends without an outcome of its own.
+pub(super) enum Stop {
+    /// It certainly did not run; the caller may send it again.
+    NotRun(Problem),
+    /// The slot has gone to another owner.
+    Moved,
+}
+
+impl From<Problem> for Stop {
+    fn from(problem: Problem) -> Self {
+        match problem.kind {
+            Kind::Moving => Stop::Moved,
+            _ => Stop::NotRun(problem),
+        }
+    }
+}
+
+/// An outcome with the tokens it took.
+pub(super) struct Finished {
+    pub outcome: Outcome,
+    pub spent: u64,
+}
+
+/// Runs a new call.
+pub(super) async fn run(context: Context, work: Work) {
+    let result = tokio::select! {
+        biased;
+        () = context.holding.stop.cancelled() => Err(Stop::Moved),
+        result = work_off(&context, &work) => result,
+    };
+    context.finish(&work, result).await;
+}
+
+async fn work_off(context: &Context, work: &Work) -> Result<Finished, Stop> {
+    context.turn().await?;
+    match work {
+        Work::Chat { request, history } => chat::call(context, request, *history).await,
+        Work::Service {
+            service,
+            call,
+            repeatable,
+        } => tool::call(context, work, service, call, *repeatable).await,
+    }
+}
+
+/// Goes on with a call that an earlier owner had sent.
+pub(super) async fn go_on(context: Context, intent: Intent) {
+    let result = tokio::select! {
+        biased;
+        () = context.holding.stop.cancelled() => Err(Stop::Moved),
+        result = take_up(&context, &intent) => result,
+    };
+    context.finish(&intent.work, result).await;
+}
+
+async fn take_up(context: &Context, intent: &Intent) -> Result<Finished, Stop> {
+    context.turn().await?;
+    match &intent.work {
+        Work::Chat { request, .. } => chat::take_up(context, request, intent).await,
+        Work::Service {
+            service,
+            call,
+            repeatable,
+        } => tool::take_up(context, service, call, *repeatable, intent).await,
+    }
+}
+
+impl Context {
+    /// When the call must have ended.
+    pub(super) fn deadline(&self) -> Instant {
+        self.came + Duration::from_millis(self.effective.call_ms)
+    }
+
+    async fn turn(&self) -> Result<(), Stop> {
+        let turn = self.session.turn(self.key, self.ticket);
+        tokio::select! {
+            () = turn => {}
+            () = self.answer.cancel.cancelled() => return Err(Stop::NotRun(cancelled())),
+            () = tokio::time::sleep_until(self.deadline()) => {
+                let message = "the calls before this one took too long, it was not run; send it \
+                               again when they have ended";
+                let problem = Problem::new(Kind::Unavailable, message);
+                return Err(Stop::NotRun(problem.retry_after(Duration::from_secs(1))));
+            }
+        }
+        let ended = self.session.read(self.key, |p| p.ended.is_some());
+        if ended.unwrap_or(true) {
+            return Err(Stop::NotRun(cancelled()));
+        }
+        Ok(())
+    }
+
+    /// Keeps the intent to send this call.
+    pub(super) async fn intend(&self, intent: Intent) -> Result<(), Stop> {
+        let record = Record::Intended {
+            program: self.program.clone(),
+            request: self.request.clone(),
+            intent,
+        };
+        self.keep(record).await
+    }
+
+    /// Keeps that an intended call certainly did not run.
+    pub(super) async fn withdraw(&self, problem: Problem) -> Stop {
+        let record = Record::Withdrawn {
+            program: self.program.clone(),
+            request: self.request.clone(),
+        };
+        match self.keep(record).await {
+            Ok(()) => Stop::NotRun(problem),
+            Err(stop) => stop,
+        }
+    }
+
+    async fn keep(&self, record: Record) -> Result<(), Stop> {
+        self.holding.keep(&record).await?;
+        self.session.apply(&record);
+        Ok(())
+    }
+
+    /// Keeps the outcome, then publishes it and gives the turn on.
+    async fn finish(self, work: &Work, result: Result<Finished, Stop>) {
+        let (end, ran) = match result {
+            Ok(finished) => match self.answered(finished).await {
+                Ok(outcome) => (End::Outcome(outcome), true),
+                Err(_) => (End::Moved, false),
+            },
+            Err(Stop::NotRun(problem)) => (accept::failed(problem), false),
+            Err(Stop::Moved) => (End::Moved, false),
+        };
+        self.measure(work, &end);
+        let now = Instant::now();
+        self.session.touch(now);
+        self.session
+            .finish(self.key, &self.request, self.ticket, end, ran);
+    }
+
+    async fn answered(&self, finished: Finished) -> Result<Outcome, Stop> {
+        let record = Record::Answered {
+            program: self.program.clone(),
+            request: self.request.clone(),
+            outcome: finished.outcome.clone(),
+            spent: finished.spent,
+        };
+        self.keep(record).await?;
+        Ok(finished.outcome)
+    }
+
+    fn measure(&self, work: &Work, end: &End) {
+        let kind = match work {
+            Work::Chat { .. } => "chat",
+            Work::Service { .. } => "service",
+        };
+        let result = match end {
+            End::Outcome(Outcome::Failed(problem)) => problem.kind.name(),
+            End::Outcome(_) => "ok",
+            End::Moved => "moved",
+        };
+        let account = self.session.account.to_string();
+        let class = self.effective.class.name();
+        let seconds = self.came.elapsed().as_secs_f64();
+        metrics::histogram!("gradedyke_call_seconds",
+            "account" => account.clone(), "class" => class, "kind" => kind)
+        .record(seconds);
+        metrics::counter!("gradedyke_calls_total",
+            "account" => account, "class" => class, "kind" => kind, "result" => result)
+        .increment(1);
+        tracing::info!(event = "call_ended", account = %self.session.account, program = %self.program,
+            request = %self.request, kind, result, ms = (seconds * 1e3) as u64);
+    }
+}
+
+/// The problem of a call that was cancelled before it was sent.
+pub(super) fn cancelled() -> Problem {
+    let message =
+        "the program has ended or was cancelled, and the call was not run; open a new one";
+    let mut problem = Problem::new(Kind::Ended, message);
+    problem.not_run = true;
+    problem
+}
+
+/// Turns the problem of a lost slot into the stop of the call.
+impl From<Stop> for Problem {
+    fn from(stop: Stop) -> Self {
+        match stop {
+            Stop::NotRun(problem) => problem,
+            Stop::Moved => moving(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradedyke/src/program/state.rs
@@ -0,0 +1,246 @@
+//! The state of a tree of programs, as a fold over its journal records.
+//!
+//! The owner applies each record when the journal keeps it, and a new owner
+//! applies the same records again, so both come to the same state by the same
+//! code.
+
+use std::collections::{BTreeMap, HashMap};
+
+use gradedyke_backend::chat::Message;
+use gradedyke_base::id;
+use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
+
+use super::record::{Intent, Record, Why};
+use crate::wire::{Outcome, Work};
+
+new_key_type! {
+    /// A program within its tree.
+    pub struct Key;
+}
+
+/// An answer that can be fetched again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Hash of the work as the caller sent it.
+    pub fingerprint: String,
+    /// How the call ended.
+    pub outcome: Outcome,
+}
+
+/// One program.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Program {
+    /// Its identifier.
+    pub id: id::Program,
+    /// Its agent program.
+    pub agent: String,
+    /// The conversation so far.
+    pub history: Vec<Message>,
+    /// Tokens of the conversation, as the engine counted them last.
+    pub history_tokens: u64,
+    /// Calls that ended, by request.
+    pub answers: BTreeMap<id::Request, Answer>,
+    /// Calls that were sent and have not ended.
+    pub open: BTreeMap<id::Request, Intent>,
+    /// Why it ended, if it has.
+    pub ended: Option<Why>,
+}
+
+/// A program and its sub-agents, which share a budget and an owner.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    /// The client account.
+    pub account: id::Account,
+    /// What the tree may spend, in tokens.
+    pub budget_tokens: u64,
+    /// What it has spent, in tokens.
+    pub spent: u64,
+    programs: SlotMap<Key, Program>,
+    names: HashMap<id::Program, Key>,
+}
+
+/// The whole state of a tree, for the journal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The client account.
+    pub account: id::Account,
+    /// What the tree may spend, in tokens.
+    pub budget_tokens: u64,
+    /// What it has spent, in tokens.
+    pub spent: u64,
+    /// Its programs.
+    pub programs: Vec<Program>,
+}
+
+impl Program {
+    fn new(id: id::Program, agent: String) -> Self {
+        Self {
+            id,
+            agent,
+            history: Vec::new(),
+            history_tokens: 0,
+            answers: BTreeMap::new(),
+            open: BTreeMap::new(),
+            ended: None,
+        }
+    }
+
+    fn answered(&mut self, request: &id::Request, outcome: &Outcome) {
+        let Some(intent) = self.open.remove(request) else {
+            return;
+        };
+        if let (Work::Chat { request, .. }, Outcome::Chat(completion)) = (intent.work, outcome) {
+            self.history.extend(request.messages);
+            self.history.push(completion.message());
+            self.history_tokens = completion.usage.total_tokens;
+        }
+        let answer = Answer {
+            fingerprint: intent.fingerprint,
+            outcome: outcome.clone(),
+        };
+        self.answers.insert(request.clone(), answer);
+    }
+}
+
+impl Tree {
+    /// A tree with no program yet.
+    pub fn new(account: id::Account, budget_tokens: u64) -> Self {
+        Self {
+            account,
+            budget_tokens,
+            spent: 0,
+            programs: SlotMap::with_key(),
+            names: HashMap::new(),
+        }
+    }
+
+    /// The tree in a snapshot.
+    pub fn restore(snapshot: Snapshot) -> Self {
+        let mut tree = Self::new(snapshot.account, snapshot.budget_tokens);
+        tree.spent = snapshot.spent;
+        snapshot.programs.into_iter().for_each(|p| tree.insert(p));
+        tree
+    }
+
+    /// The tree's whole state.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            account: self.account.clone(),
+            budget_tokens: self.budget_tokens,
+            spent: self.spent,
+            programs: self.programs.values().cloned().collect(),
+        }
+    }
+
+    fn insert(&mut self, program: Program) {
+        let id = program.id.clone();
+        let key = self.programs.insert(program);
+        self.names.insert(id, key);
+    }
+
+    /// The key of a program of this tree.
+    pub fn find(&self, id: &id::Program) -> Option<Key> {
+        self.names.get(id).copied()
+    }
+
+    /// A program by its key.
+    pub fn get(&self, key: Key) -> Option<&Program> {
+        self.programs.get(key)
+    }
+
+    /// All programs of the tree.
+    pub fn programs(&self) -> impl Iterator<Item = (Key, &Program)> {
+        self.programs.iter()
+    }
+
+    /// Whether the tree's root has ended.
+    pub fn ended(&self) -> bool {
+        self.programs.values().all(|p| p.ended.is_some())
+    }
+
+    /// Takes in what a record says.
+    pub fn apply(&mut self, record: &Record) {
+        match record {
+            Record::Opened { program, agent, .. } => {
+                if !self.names.contains_key(program) {
+                    self.insert(Program::new(program.clone(), agent.clone()));
+                }
+            }
+            Record::Intended {
+                program,
+                request,
+                intent,
+            } => {
+                if let Some(program) = self.by_name(program) {
+                    program.open.insert(request.clone(), intent.clone());
+                }
+            }
+            Record::Withdrawn { program, request } => {
+                if let Some(program) = self.by_name(program) {
+                    program.open.remove(request);
+                }
+            }
+            Record::Answered {
+                program,
+                request,
+                outcome,
+                spent,
+            } => {
+                self.spent += spent;
+                if let Some(program) = self.by_name(program) {
+                    program.answered(request, outcome);
+                }
+            }
+            Record::Ended { program, why } => {
+                if let Some(program) = self.by_name(program) {
+                    program.ended.get_or_insert(*why);
+                }
+            }
+            Record::Taken | Record::Restated(_) | Record::Forgotten { .. } => {}
+        }
+    }
+
+    fn by_name(&mut self, id: &id::Program) -> Option<&mut Program> {
+        let key = *self.names.get(id)?;
+        self.programs.get_mut(key)
+    }
+}
+
+/// All trees of a slot, by their root's name.
+pub type Trees = HashMap<String, Tree>;
+
+/// Takes a record of a slot into its trees.
+pub fn fold(trees: &mut Trees, record: Record) {
+    match record {
+        Record::Taken => {}
+        Record::Restated(snapshot) => {
+            let Some(first) = snapshot.programs.first() else {
+                return;
+            };
+            let root = first.id.root().to_owned();
+            trees.insert(root, Tree::restore(*snapshot));
+        }
+        Record::Forgotten { program } => {
+            trees.remove(program.root());
+        }
+        Record::Opened {
+            ref program,
+            ref account,
+            budget_tokens,
+            ..
+        } => {
+            let new = || Tree::new(account.clone(), budget_tokens);
+            let tree = trees.entry(program.root().to_owned()).or_insert_with(new);
+            tree.apply(&record);
+        }
+        Record::Intended { ref program, .. }
+        | Record::Withdrawn { ref program, .. }
+        | Record::Answered { ref program, .. }
+        | Record::Ended { ref program, .. } => {
+            if let Some(tree) = trees.get_mut(program.root()) {
+                tree.apply(&record);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradedyke/src/routing/round_robin.rs
@@ -0,0 +1,28 @@
+//! The naive policy: each candidate in turn.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use super::{Candidate, Plugin, Policy, Question};
+
+/// Takes each candidate in turn, whatever its load.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: AtomicUsize,
+}
+
+impl Policy for RoundRobin {
+    fn choose(&self, _: &Question, candidates: &[Candidate]) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        Some(self.next.fetch_add(1, Ordering::Relaxed) % candidates.len())
+    }
+}
+
+inventory::submit! {
+    Plugin {
+        name: "round_robin",
+        build: || Arc::new(RoundRobin::default()),
+    }
+}
