Keep two views of the members from moving slots back and forth

One process had missed a member, took its slots for ownerless and assigned them anew, and the owner that saw the member handed them back, for ever. The missed member was the stand-in's fault: its watch read the revision to go on from after it had collected the events, so a change between the two was lost. Ruled out: the epochs (every move was fenced rightly) and the lease (no renewal failed).

Change: the stand-in goes on from the last event it sent; and the assigner looks an absent owner up in the key-value service and asks it before its slots are given away, because a real view may lag too.

--- a/crates/gradedyke-standin/src/platform.rs
+++ b/crates/gradedyke-standin/src/platform.rs
@@ -248,17 +248,24 @@
                         () = sender.closed() => return,
                     }
                 };
-                next = lock(&platform.store).revision + 1;
+                next = events
+                    .iter()
+                    .map(|(revision, _)| revision + 1)
+                    .max()
+                    .unwrap_or(next);
+                let events: Vec<Value> = events.into_iter().map(|(_, event)| event).collect();
                 line = json!({ "result": { "events": events } });
             }
         });
         Response::new(body)
     }
 
-    fn since(&self, revision: u64, key: &[u8], end: &[u8]) -> Vec<Value> {
+    fn since(&self, revision: u64, key: &[u8], end: &[u8]) -> Vec<(u64, Value)> {
         let store = lock(&self.store);
-        let wanted = |c: &&Change| c.revision >= revision && covers(key, end, &c.key);
-        store.changes.iter().filter(wanted).map(event).collect()
+        let first = store.changes.partition_point(|c| c.revision < revision);
+        let news = store.changes[first..].iter();
+        let wanted = news.filter(|c| covers(key, end, &c.key));
+        wanted.map(|c| (c.revision, event(c))).collect()
     }
 
     async fn went_down(&self) {
--- a/crates/gradedyke/src/ownership/assign.rs
+++ b/crates/gradedyke/src/ownership/assign.rs
@@ -3,9 +3,11 @@
 //! Every owner watches members and map. For each shard, the live owner with the
 //! highest rendezvous weight acts, so that as a rule one process writes a
 //! shard; where views differ and two act, compare-and-swap lets one win. An
-//! owner that has left the members is asked directly before its slots are
-//! given away, because a lapsed lease may mean only that the platform is slow.
-//! That question spares needless moves; epochs keep even a wrong one harmless.
+//! owner that is missing from the members is looked up in the key-value service
+//! and then asked directly before its slots are given away, because this view
+//! may lag and a lapsed lease may mean only that the platform is slow. These
+//! questions spare needless moves, which two processes with different views
+//! could otherwise keep up for ever; epochs keep even a wrong move harmless.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -19,7 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::map::{Map, PER_SHARD, SHARDS, Shard, Version, slot};
-use crate::membership::{Member, Members};
+use crate::membership::{self, Member, Members};
 
 /// How often the map is looked through when nothing has changed.
 const TICK: Duration = Duration::from_secs(1);
@@ -159,6 +161,11 @@
         }
         let owners = owners(&members);
         let view = self.map.view();
+        let fresh = view.iter().any(|version| version.shard.keepers.is_empty());
+        if fresh && keepers(0, &members, self.copies).len() < self.copies {
+            tracing::warn!(event = "keepers_awaited", copies = self.copies);
+            return;
+        }
         let mut answers = HashMap::new();
         for number in 0..SHARDS {
             let acts = first(&number.to_be_bytes(), &owners);
@@ -186,14 +193,23 @@
             if members.contains_key(owner) || answers.contains_key(owner) {
                 continue;
             }
-            let lives = match self.seen.get(owner) {
-                Some(member) => self.lives(member).await,
-                None => false,
-            };
+            let lives = self.registered(owner).await
+                || match self.seen.get(owner) {
+                    Some(member) => self.lives(member).await,
+                    None => false,
+                };
             answers.insert(owner.clone(), lives);
         }
     }
 
+    /// Whether an instance is registered after all. Where the service cannot be
+    /// asked, it cannot be written either, so nothing is lost by a yes.
+    async fn registered(&self, owner: &id::Instance) -> bool {
+        let key = format!("{}{owner}", membership::PREFIX);
+        let found = self.kv.get(&key).await;
+        found.map_or(true, |entry| entry.is_some())
+    }
+
     async fn lives(&self, member: &Member) -> bool {
         let none = None::<&()>;
         let path = format!("/lives/{}", member.id);
@@ -208,11 +224,6 @@
         let mut shard = version.shard.moved(moves);
         if shard.keepers.is_empty() {
             shard.keepers = keepers(number, &self.members.view(), self.copies);
-            if shard.keepers.len() < self.copies {
-                let keepers = shard.keepers.len();
-                tracing::warn!(event = "keepers_awaited", keepers, copies = self.copies);
-                return;
-            }
         }
         let epoch = shard.epoch;
         match self.map.swap(&*self.kv, number, version, shard).await {
