Prove three points under failure, and mend what the proofs found

Cause: the mechanisms were unproved.

Ruled out by logs, one after another: the callers' connections (all gone), a deadlock (gdb shows every thread parked), a lost wake-up (the loop ran every 200 ms). What remained was one shard whose compare-and-swap conflicted for ever: the stand-in answered a transaction with a revision read after it had let go of its lock, so the writer knew a revision that the key never had. The stand-in now carries a transaction out under one lock, as the published service does. Also: the JSON-RPC server no longer stops at its default of 100 connections, and a process can be killed in place, to test just that.

--- a/crates/gradedyke-cli/src/demo/agents.rs
+++ b/crates/gradedyke-cli/src/demo/agents.rs
@@ -1,14 +1,10 @@
 //! The agent programs of the demo, as callers would write them.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use gradedyke_client::{Caller, Options};
-use serde_json::{Value, json};
+use gradedyke_client::Options;
+use gradedyke_world::{World, chat, text_of, user};
 
-use super::world::{JORDAN, KESTREL, MODEL, World};
-
-/// Longest time for one call.
-const TIME: Duration = Duration::from_secs(60);
 /// Minutes drafts and valuations that run beside each other.
 const PAIRS: usize = 4;
 /// Follow-up questions in a minutes draft.
@@ -39,19 +35,6 @@
     pub calls: Vec<Seen>,
 }
 
-fn user(content: &str) -> Value {
-    json!({ "role": "user", "content": content })
-}
-
-fn chat(messages: Value) -> Value {
-    json!({ "model": MODEL, "messages": messages })
-}
-
-fn text_of(answer: &Value) -> String {
-    let content = answer["choices"][0]["message"]["content"].as_str();
-    content.unwrap_or_default().to_owned()
-}
-
 fn short(text: &str) -> String {
     text.chars().take(40).collect()
 }
@@ -84,7 +67,7 @@
 /// A minutes draft: a long transcript, a sub-agent that checks names, an export
 /// that must not be repeated, and a clerk's follow-up questions.
 async fn minutes(world: &World, number: usize) -> eyre::Result<Journeys> {
-    let caller = Caller::new(KESTREL, TIME);
+    let caller = world.kestrel();
     let mut journey = Journeys::default();
     let mut entries = (number..).map(|n| world.entry(n));
     let mut entry = || entries.next().unwrap_or_else(|| world.entry(0));
@@ -97,7 +80,7 @@
     journey.programs.push((program.clone(), budget));
 
     let transcript = "The chair opened the meeting and item four was discussed. ".repeat(12);
-    let body = chat(json!([user(&transcript)]));
+    let body = chat(&[user(&transcript)]);
     let mut answer = caller
         .stream(entry(), &program, &body, &Options::request("draft"))
         .await?;
@@ -113,7 +96,7 @@
         .await?;
     println!("  {program} opens sub-agent {child}");
     journey.programs.push((child.clone(), budget));
-    let body = chat(json!([user("Check the names against the members' list.")]));
+    let body = chat(&[user("Check the names against the members' list.")]);
     let checked = caller
         .chat(entry(), &child, &body, &Options::request("check"))
         .await?;
@@ -148,7 +131,7 @@
             append: true,
             ..Options::request(&request)
         };
-        let body = chat(json!([user("What was decided on item four?")]));
+        let body = chat(&[user("What was decided on item four?")]);
         let answer = caller.chat(entry(), &program, &body, &options).await?;
         journey.saw(&program, &request, text_of(&answer), false);
     }
@@ -159,7 +142,7 @@
 
 /// A valuation: two model calls and an order that must not be repeated.
 async fn valuation(world: &World, number: usize) -> eyre::Result<Journeys> {
-    let caller = Caller::new(JORDAN, TIME);
+    let caller = world.jordan();
     let mut journey = Journeys::default();
     let mut entries = (number + 1..).map(|n| world.entry(n));
     let mut entry = || entries.next().unwrap_or_else(|| world.entry(0));
@@ -172,7 +155,7 @@
     journey.programs.push((program.clone(), budget));
 
     let first = user("Value this copy: first edition, spine worn.");
-    let body = chat(json!([first]));
+    let body = chat(std::slice::from_ref(&first));
     let valued = caller
         .chat(entry(), &program, &body, &Options::request("value"))
         .await?;
@@ -189,7 +172,7 @@
 
     // An existing client repeats the whole conversation.
     let message = valued["choices"][0]["message"].clone();
-    let body = chat(json!([first, message, user("List it at that price.")]));
+    let body = chat(&[first, message, user("List it at that price.")]);
     let listed = caller
         .chat(entry(), &program, &body, &Options::request("list"))
         .await?;
@@ -224,7 +207,7 @@
 }
 
 async fn turns(world: &World, agent: &str, number: usize) -> eyre::Result<String> {
-    let caller = Caller::new(KESTREL, TIME);
+    let caller = world.kestrel();
     let entry = world.entry(number);
     let opened = format!("{agent}-compared-{number}");
     let program = caller.open(entry, agent, None, None, &opened).await?;
@@ -240,7 +223,7 @@
             append: true,
             ..Options::request(turn.to_string())
         };
-        let body = chat(json!([user(content)]));
+        let body = chat(&[user(content)]);
         caller.chat(entry, &program, &body, &options).await?;
     }
     caller.program(entry, &program, "end").await?;
--- a/crates/gradedyke-cli/src/demo/mod.rs
+++ b/crates/gradedyke-cli/src/demo/mod.rs
@@ -2,15 +2,14 @@
 
 mod agents;
 mod tally;
-mod world;
 
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
+use gradedyke_world::{Config, KESTREL, MODEL, OPERATOR, World};
 
 use crate::{Failure, logs, no_more, runtime};
 use agents::Journeys;
-use world::World;
 
 /// Longest time for the instances to get ready.
 const READY: Duration = Duration::from_secs(30);
@@ -30,9 +29,13 @@
 async fn show(instances: usize, stay: bool) -> Result<(), Failure> {
     let began = Instant::now();
     println!("starting a platform, 3 model engines, 2 plain services and {instances} instances");
-    let world = tokio::time::timeout(READY, World::start(instances)).await;
+    let config = Config {
+        instances,
+        ..Config::default()
+    };
+    let world = tokio::time::timeout(READY, World::start(config)).await;
     let world = world.wrap_err("the instances did not get ready in time")??;
-    for process in &world.processes {
+    for process in world.processes.iter().flatten() {
         let addresses = process.addresses();
         println!(
             "  instance {} callers={} admin={}",
@@ -51,7 +54,7 @@
     println!("{gain}");
     println!("{figures}");
     if stay {
-        world.print_curl();
+        print_curl(&world);
         tokio::signal::ctrl_c()
             .await
             .wrap_err("cannot wait for a signal")?;
@@ -65,3 +68,22 @@
         "a figure is not right, see above"
     )))
 }
+
+/// Prints curl lines to try.
+fn print_curl(world: &World) {
+    let entry = world.entry(0);
+    let admin = world.processes.iter().flatten().next();
+    let admin = admin.map_or_else(gradedyke_world::loopback, |p| p.addresses().admin);
+    println!(
+        r#"still listening; try these, then stop with ctrl-c:
+  ID=$(curl -s http://{entry}/v1/programs -H 'authorization: Bearer {KESTREL}' \
+    -d '{{"agent":"minutes"}}' | sed 's/.*"id":"\([^"]*\)".*/\1/')
+  curl -N http://{entry}/v1/chat/completions -H 'authorization: Bearer {KESTREL}' \
+    -H "gradedyke-program: $ID" -d '{{"model":"{MODEL}","stream":true,
+    "messages":[{{"role":"user","content":"Draft the minutes."}}]}}'
+  curl -s http://{entry}/v1/programs/$ID/history -H 'authorization: Bearer {KESTREL}'
+  curl -s -XPOST http://{entry}/v1/programs/$ID/end -H 'authorization: Bearer {KESTREL}'
+  curl -s http://{admin}/admin/v1/status -H 'authorization: Bearer {OPERATOR}'
+  curl -s http://{admin}/metrics"#
+    );
+}
--- a/crates/gradedyke-cli/src/demo/tally.rs
+++ b/crates/gradedyke-cli/src/demo/tally.rs
@@ -4,13 +4,12 @@
 use std::fmt;
 use std::time::Duration;
 
+use gradedyke_world::World;
+
 use super::agents::Journeys;
-use super::world::World;
 
 /// Longest time for engines to be rid of ended programs' memory.
 const RELEASE: Duration = Duration::from_secs(10);
-/// How often the engines are looked at meanwhile.
-const LOOK: Duration = Duration::from_millis(50);
 
 /// The figures of the demo.
 #[derive(Debug, Default)]
@@ -101,12 +100,6 @@
 
 /// Blocks that engines still hold when every program has ended.
 async fn held(world: &World) -> usize {
-    let count = || world.engines.iter().map(|e| e.pins().len()).sum();
-    let released = async {
-        while count() != 0_usize {
-            tokio::time::sleep(LOOK).await;
-        }
-    };
-    let _ = tokio::time::timeout(RELEASE, released).await;
-    count()
+    let _ = tokio::time::timeout(RELEASE, world.released()).await;
+    world.engines.iter().map(|e| e.pins().len()).sum()
 }
--- a/crates/gradedyke-cli/src/help.rs
+++ b/crates/gradedyke-cli/src/help.rs
@@ -10,6 +10,7 @@
   run       run the roles that a settings file names
   settings  check settings, or put them in force
   status    tell of an instance and the members it sees
+  standin   run a stand-in for what surrounds gradedyke, to try things out
   key       make a key and the hash that settings keep of it
 
 gradedyke COMMAND --help tells more. Logs go to standard error; GRADEDYKE_LOG
@@ -35,7 +36,8 @@
 
 Runs the roles that FILE names until SIGTERM or SIGINT, which drain: new work
 goes elsewhere, streams finish, slots are handed over. A second signal stops at
-once. See docs/OPERATING.md for the settings.
+once. Prints a line with the addresses it listens on, and one with ready=true
+once callers may be sent here. See docs/OPERATING.md for the settings.
 ";
 
 const SETTINGS: &str = "\
@@ -55,6 +57,14 @@
 it sees the revision of the settings in force there.
 ";
 
+const STANDIN: &str = "\
+usage: gradedyke standin platform|engine|service --listen ADDRESS
+
+Runs a small stand-in for the platform, a model engine or a plain service until
+it is killed, and prints listening=ADDRESS once it listens. It keeps everything
+in memory. Engines and services tell what they ran at /records.
+";
+
 const KEY: &str = "\
 usage: gradedyke key [KEY]
 
@@ -69,6 +79,7 @@
         "run" => RUN,
         "settings" => SETTINGS,
         "status" => STATUS,
+        "standin" => STANDIN,
         "key" => KEY,
         _ => GENERAL,
     }
--- a/crates/gradedyke-cli/src/main.rs
+++ b/crates/gradedyke-cli/src/main.rs
@@ -65,6 +65,7 @@
         "demo" => demo::command(args),
         "run" => run::command(args),
         "settings" => settings::command(args),
+        "standin" => run::standin(args),
         "status" => admin::status(args),
         "key" => settings::key(args),
         other => Err(Failure::Usage(format!(
--- a/crates/gradedyke-cli/src/run.rs
+++ b/crates/gradedyke-cli/src/run.rs
@@ -1,10 +1,12 @@
 //! `gradedyke run`: the daemon.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use gradedyke::Process;
 use gradedyke_base::settings::instance::Instance;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
 
 use crate::{Failure, logs, no_more, runtime};
 
@@ -25,7 +27,21 @@
     let mut term = signal(SignalKind::terminate()).map_err(io)?;
     let mut int = signal(SignalKind::interrupt()).map_err(io)?;
     let process = Process::start(settings).await?;
+    let addresses = process.addresses();
+    let caller = addresses
+        .caller
+        .map_or("none".to_owned(), |a| a.to_string());
+    println!(
+        "caller={caller} peer={} admin={}",
+        addresses.peer, addresses.admin
+    );
+    let ready = async {
+        process.ready().await;
+        println!("ready=true");
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
+        () = ready => {}
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
@@ -41,3 +57,22 @@
         "stopped before every stream had finished; give drain_ms more time"
     )))
 }
+
+/// Runs a stand-in until it is killed.
+pub fn standin(args: &mut pico_args::Arguments) -> Result<(), Failure> {
+    let kind = args.subcommand()?.unwrap_or_default();
+    let address: SocketAddr = args.value_from_str("--listen")?;
+    no_more(args)?;
+    runtime()?.block_on(async {
+        let handler = gradedyke_standin::handler(&kind).ok_or_else(|| {
+            Failure::Usage(format!(
+                "no stand-in {kind}; use platform, engine or service"
+            ))
+        })?;
+        let stop = CancellationToken::new();
+        let bound = gradedyke_standin::serve(handler, address, &stop).await;
+        let bound = bound.map_err(|e| Failure::Failed(e.into()))?;
+        println!("listening={bound}");
+        std::future::pending().await
+    })
+}
--- a/crates/gradedyke-http/src/server.rs
+++ b/crates/gradedyke-http/src/server.rs
@@ -17,8 +17,8 @@
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
 
@@ -89,13 +89,15 @@
         self.listener.local_addr()
     }
 
-    /// Serves until `stop`, then finishes what is in progress.
+    /// Serves until `stop`, then finishes what is in progress. Dropping the
+    /// future cuts every connection, as the death of the process would.
     pub async fn serve(self, handler: Arc<dyn Handler>, stop: CancellationToken) {
         let places = Arc::new(Semaphore::new(self.config.connections));
-        let connections = TaskTracker::new();
+        let mut connections = JoinSet::new();
         loop {
             let accepted = tokio::select! {
                 accepted = accept(&self.listener, &places) => accepted,
+                Some(_) = connections.join_next() => continue,
                 () = stop.cancelled() => break,
             };
             let Some((stream, place)) = accepted else {
@@ -111,8 +113,7 @@
             });
         }
         drop(self.listener);
-        connections.close();
-        connections.wait().await;
+        while connections.join_next().await.is_some() {}
     }
 }
 
--- a/crates/gradedyke-journal/src/peer.rs
+++ b/crates/gradedyke-journal/src/peer.rs
@@ -45,7 +45,7 @@
         (Arc::new(Self { state }), receiver)
     }
 
-    fn report(&self, result: Result<(), Error>) {
+    fn report(&self, result: &Result<(), Error>) {
         let mut count = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         count.open -= 1;
         let end = match result {
@@ -53,7 +53,7 @@
                 count.needed = count.needed.saturating_sub(1);
                 (count.needed == 0).then_some(Ok(()))
             }
-            Err(Error::Fenced(epoch)) => Some(Err(Error::Fenced(epoch))),
+            Err(Error::Fenced(epoch)) => Some(Err(Error::Fenced(*epoch))),
             Err(_) => None,
         };
         let hopeless = count.open < count.needed;
@@ -108,7 +108,7 @@
         };
         if let Err(refused) = self.queue.try_send(item) {
             let item = refused.into_inner();
-            item.round.report(Err(Error::NoMajority));
+            item.round.report(&Err(Error::NoMajority));
         }
     }
 }
@@ -171,9 +171,9 @@
                 continue;
             };
             let first = gap.append;
-            match copy(&*source, keeper, first, gap.from, gap.to).await {
-                Ok(true) => return Ok(()),
-                Ok(false) | Err(_) => {}
+            // Where this source fails, the next one may do.
+            if let Ok(true) = copy(&*source, keeper, first, gap.from, gap.to).await {
+                return Ok(());
             }
         }
         // Another append will find the gap again.
@@ -190,7 +190,7 @@
         };
         let missing = std::iter::repeat(Err(Error::NoMajority));
         for (item, result) in batch.into_iter().zip(outcomes.into_iter().chain(missing)) {
-            item.round.report(result);
+            item.round.report(&result);
         }
     }
 }
--- a/crates/gradedyke-platform/src/etcd.rs
+++ b/crates/gradedyke-platform/src/etcd.rs
@@ -82,11 +82,13 @@
 }
 
 #[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
 enum Operation {
-    RequestPut(PutRequest),
-    RequestDeleteRange(RangeRequest),
-    RequestRange(RangeRequest),
+    #[serde(rename = "request_put")]
+    Put(PutRequest),
+    #[serde(rename = "request_delete_range")]
+    Delete(RangeRequest),
+    #[serde(rename = "request_range")]
+    Range(RangeRequest),
 }
 
 #[derive(Serialize)]
@@ -289,12 +291,12 @@
             range_end: None,
         };
         let write = match &swap.value {
-            Some(value) => Operation::RequestPut(PutRequest {
+            Some(value) => Operation::Put(PutRequest {
                 key: key.clone(),
                 value: STANDARD.encode(value),
                 lease: swap.lease.map(|lease| lease.0.to_string()),
             }),
-            None => Operation::RequestDeleteRange(range()),
+            None => Operation::Delete(range()),
         };
         let request = TxnRequest {
             compare: vec![Compare {
@@ -304,7 +306,7 @@
                 mod_revision: swap.expected.to_string(),
             }],
             success: vec![write],
-            failure: vec![Operation::RequestRange(range())],
+            failure: vec![Operation::Range(range())],
         };
         let reply: TxnReply = self.call("txn", "/v3/kv/txn", &request).await?;
         if reply.succeeded {
--- a/crates/gradedyke-standin/src/engine.rs
+++ b/crates/gradedyke-standin/src/engine.rs
@@ -81,6 +81,7 @@
     config: Config,
     state: Mutex<State>,
     work: Notify,
+    changed: watch::Sender<()>,
 }
 
 #[derive(Debug, Default)]
@@ -97,6 +98,8 @@
     orders: Vec<Value>,
     clock: u64,
     leaving: bool,
+    /// Calls stand still when they have generated so many tokens.
+    hold_at: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -149,6 +152,7 @@
             config,
             state: Mutex::default(),
             work: Notify::new(),
+            changed: watch::Sender::new(()),
         });
         let weak = Arc::downgrade(&engine);
         tokio::spawn(async move {
@@ -182,6 +186,26 @@
         self.lock().orders.clone()
     }
 
+    /// Waits until `wanted` holds for the engine.
+    pub async fn until(&self, wanted: impl Fn(&Self) -> bool) {
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.borrow_and_update();
+            if wanted(self) {
+                return;
+            }
+            // The sender lives as long as the engine.
+            let _ = changed.changed().await;
+        }
+    }
+
+    /// Has calls stand still when they have generated so many tokens, or lets
+    /// them go on.
+    pub fn hold_at(&self, tokens: Option<u64>) {
+        self.lock().hold_at = tokens;
+        self.work.notify_one();
+    }
+
     /// Says from now on that the engine is leaving, or no longer.
     pub fn leave(&self, leaving: bool) {
         self.lock().leaving = leaving;
@@ -192,7 +216,7 @@
         let idle = {
             let mut state = self.lock();
             state.admit(self.config.batch);
-            state.running.is_empty()
+            state.held()
         };
         if idle {
             // The wait is bounded so that the task sees when the engine is dropped.
@@ -202,6 +226,7 @@
         }
         tokio::time::sleep(Duration::from_micros(self.config.step_us)).await;
         self.lock().step(&self.config);
+        self.changed.send_replace(());
     }
 
     fn submit(&self, attempt: &str, request: &Value) {
@@ -321,6 +346,8 @@
                 state.pins.insert((holder.to_owned(), key.to_owned()));
             }
         }
+        drop(state);
+        self.changed.send_replace(());
         reply::json(StatusCode::OK, &json!({}))
     }
 
@@ -379,6 +406,8 @@
         } else if let Some(holder) = path.strip_prefix("/control/pins/") {
             state.pins.retain(|(h, _)| h != holder);
         }
+        drop(state);
+        self.changed.send_replace(());
         reply::json(StatusCode::OK, &json!({}))
     }
 
@@ -393,6 +422,10 @@
                 self.stream(attempt, 0)
             }
             "/control/pins" => self.pin(&json),
+            "/hold" => {
+                self.hold_at(json.as_u64());
+                reply::json(StatusCode::OK, &json)
+            }
             "/control/orders" => self.order(&json),
             "/control/cache/export" => {
                 reply::json(StatusCode::OK, &json!({ "handle": json["key"] }))
@@ -422,6 +455,15 @@
         }
     }
 
+    /// Whether no running call can go on.
+    fn held(&self) -> bool {
+        let limit = self.hold_at.unwrap_or(u64::MAX);
+        let running = self.running.iter().filter_map(|n| self.attempts.get(n));
+        running
+            .into_iter()
+            .all(|a| a.run.completion_tokens >= limit)
+    }
+
     /// Looks the prompt up in the cache and puts it there.
     fn begin(&mut self, name: &str) {
         let Some(attempt) = self.attempts.get(name) else {
@@ -470,11 +512,13 @@
 
     fn step(&mut self, config: &Config) {
         let running = std::mem::take(&mut self.running);
+        let limit = self.hold_at.unwrap_or(u64::MAX);
         for name in running {
             let Some(attempt) = self.attempts.get_mut(&name) else {
                 continue;
             };
-            if attempt.advance(config.prefill_tokens) {
+            let held = attempt.run.completion_tokens >= limit;
+            if held || attempt.advance(config.prefill_tokens) {
                 self.running.push(name);
             }
         }
--- a/crates/gradedyke-standin/src/lib.rs
+++ b/crates/gradedyke-standin/src/lib.rs
@@ -40,6 +40,19 @@
     Ok(bound)
 }
 
+/// The stand-in named `kind`: `platform`, `engine` or `service`.
+pub fn handler(kind: &str) -> Option<Arc<dyn Handler>> {
+    match kind {
+        "platform" => Some(Arc::new(platform::Listener(platform::Platform::start()))),
+        "engine" => {
+            let engine = engine::Engine::start(engine::Config::default());
+            Some(Arc::new(engine::Listener(engine)))
+        }
+        "service" => Some(Arc::new(service::Service::default())),
+        _ => None,
+    }
+}
+
 /// A reply that breaks off, as a process does that dies while answering.
 fn cut() -> http::Response<gradedyke_http::Body> {
     let (sender, body) = gradedyke_http::body::channel(1);
--- a/crates/gradedyke-standin/src/platform.rs
+++ b/crates/gradedyke-standin/src/platform.rs
@@ -85,6 +85,35 @@
     }
 }
 
+fn range(store: &Store, request: &Value) -> Value {
+    let found = store.range(&decode(&request["key"]), &decode(&request["range_end"]));
+    let kvs: Vec<_> = found.iter().map(|(k, s)| entry(k, s)).collect();
+    json!({ "header": { "revision": store.revision.to_string() }, "kvs": kvs })
+}
+
+fn compare(store: &Store, compare: &Value) -> bool {
+    let stored = store.keys.get(&decode(&compare["key"]));
+    let revision = stored.map_or(0, |s| s.revision);
+    revision.to_string() == compare["mod_revision"].as_str().unwrap_or("0")
+}
+
+/// Carries an operation out; `None` when its lease has gone.
+fn operate(store: &mut Store, operation: &Value) -> Option<Value> {
+    if let Some(put) = operation.get("request_put") {
+        let lease = number(&put["lease"]);
+        if lease != 0 && !store.leases.contains_key(&lease) {
+            return None;
+        }
+        store.put(decode(&put["key"]), decode(&put["value"]), lease);
+        return Some(json!({ "response_put": {} }));
+    }
+    if let Some(delete) = operation.get("request_delete_range") {
+        store.delete(&decode(&delete["key"]));
+        return Some(json!({ "response_delete_range": {} }));
+    }
+    Some(json!({ "response_range": range(store, &operation["request_range"]) }))
+}
+
 fn gone() -> Response<Body> {
     let bytes = br#"{"code":5,"message":"etcdserver: requested lease not found"}"#;
     reply::bytes_of(StatusCode::NOT_FOUND, "application/json", &bytes[..])
@@ -154,23 +183,19 @@
         });
     }
 
-    fn range(&self, request: &Value) -> Value {
-        let store = lock(&self.store);
-        let found = store.range(&decode(&request["key"]), &decode(&request["range_end"]));
-        let kvs: Vec<_> = found.iter().map(|(k, s)| entry(k, s)).collect();
-        json!({ "header": { "revision": store.revision.to_string() }, "kvs": kvs })
-    }
-
+    /// Carries a transaction out, all under one lock; `None` when a lease it
+    /// names has gone.
     fn txn(&self, request: &Value) -> Option<Value> {
         let empty = Vec::new();
-        let list = |name: &str| request[name].as_array().unwrap_or(&empty).clone();
-        let holds = list("compare").iter().all(|c| self.compare(c));
+        let list = |name: &str| request[name].as_array().unwrap_or(&empty);
+        let mut store = lock(&self.store);
+        let holds = list("compare").iter().all(|c| compare(&store, c));
         let operations = list(if holds { "success" } else { "failure" });
         let mut responses = Vec::new();
         for operation in operations {
-            responses.push(self.operate(&operation)?);
+            responses.push(operate(&mut store, operation)?);
         }
-        let revision = lock(&self.store).revision.to_string();
+        let revision = store.revision.to_string();
         let mut reply = json!({ "header": { "revision": revision }, "responses": responses });
         if holds {
             reply["succeeded"] = true.into();
@@ -178,31 +203,6 @@
         Some(reply)
     }
 
-    fn compare(&self, compare: &Value) -> bool {
-        let store = lock(&self.store);
-        let stored = store.keys.get(&decode(&compare["key"]));
-        let revision = stored.map_or(0, |s| s.revision);
-        revision.to_string() == compare["mod_revision"].as_str().unwrap_or("0")
-    }
-
-    /// Carries an operation out; `None` when its lease has gone.
-    fn operate(&self, operation: &Value) -> Option<Value> {
-        if let Some(put) = operation.get("request_put") {
-            let lease = number(&put["lease"]);
-            let mut store = lock(&self.store);
-            if lease != 0 && !store.leases.contains_key(&lease) {
-                return None;
-            }
-            store.put(decode(&put["key"]), decode(&put["value"]), lease);
-            return Some(json!({ "response_put": {} }));
-        }
-        if let Some(delete) = operation.get("request_delete_range") {
-            lock(&self.store).delete(&decode(&delete["key"]));
-            return Some(json!({ "response_delete_range": {} }));
-        }
-        Some(json!({ "response_range": self.range(&operation["request_range"]) }))
-    }
-
     fn grant(&self, request: &Value) -> Value {
         let seconds = u64::try_from(number(&request["TTL"])).unwrap_or(1);
         let id = lock(&self.store).grant(Duration::from_secs(seconds), Instant::now());
@@ -340,7 +340,10 @@
         };
         let json: Value = serde_json::from_slice(&bytes).unwrap_or_default();
         match path.as_str() {
-            "/v3/kv/range" => reply::json(StatusCode::OK, &platform.range(&json)),
+            "/v3/kv/range" => {
+                let reply = range(&lock(&platform.store), &json);
+                reply::json(StatusCode::OK, &reply)
+            }
             "/v3/kv/txn" => {
                 let reply = platform.txn(&json);
                 platform.written(reply)
--- a/crates/gradedyke-standin/src/service.rs
+++ b/crates/gradedyke-standin/src/service.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::sync::watch;
 
 use crate::cut;
 
@@ -45,6 +46,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Service {
     state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<()>>,
 }
 
 #[derive(Debug, Default)]
@@ -74,11 +76,26 @@
         self.lock().runs.clone()
     }
 
+    /// Waits until `wanted` holds for the service.
+    pub async fn until(&self, wanted: impl Fn(&Self) -> bool) {
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.borrow_and_update();
+            if wanted(self) {
+                return;
+            }
+            // The sender lives as long as the service.
+            let _ = changed.changed().await;
+        }
+    }
+
     fn run(&self, run: Run) -> String {
         let mut state = self.lock();
         state.runs.push(run.clone());
         let answer = json!({ "run": run.path, "echo": run.body }).to_string();
         state.answers.insert(run.key, answer.clone());
+        drop(state);
+        self.changed.send_replace(());
         answer
     }
 
--- a/crates/gradedyke/src/entry/relay.rs
+++ b/crates/gradedyke/src/entry/relay.rs
@@ -87,14 +87,8 @@
         let until = Instant::now() + PATIENCE;
         let mut backoff = patience();
         loop {
-            if let Some(mut connection) = self.connection.take() {
-                if let Some(frame) = connection.frame().await {
-                    self.connection = Some(connection);
-                    if let Some(part) = self.part(frame)? {
-                        return Ok(part);
-                    }
-                    continue;
-                }
+            if let Some(frame) = self.frame().await {
+                return self.part(frame);
             }
             if self.connect().await? {
                 continue;
@@ -108,7 +102,16 @@
         }
     }
 
-    fn part(&mut self, frame: Frame) -> Result<Option<Part>, Problem> {
+    /// The next frame of the present connection, which is dropped when broken.
+    async fn frame(&mut self) -> Option<Frame> {
+        let frame = self.connection.as_mut()?.frame().await;
+        if frame.is_none() {
+            self.connection = None;
+        }
+        frame
+    }
+
+    fn part(&mut self, frame: Frame) -> Result<Part, Problem> {
         match frame {
             Frame::Text(at, text) => {
                 if at != self.call.offset {
@@ -117,11 +120,11 @@
                 }
                 self.call.offset += text.len() as u64;
                 self.seen.update(text.as_bytes());
-                Ok(Some(Part::Text(text, self.call.offset)))
+                Ok(Part::Text(text, self.call.offset))
             }
             Frame::End(json) => {
                 let outcome: Outcome = reply::parse(&json)?;
-                Ok(Some(Part::End(outcome)))
+                Ok(Part::End(outcome))
             }
         }
     }
--- a/crates/gradedyke/src/kernel/keepers.rs
+++ b/crates/gradedyke/src/kernel/keepers.rs
@@ -15,11 +15,14 @@
 /// Longest time for a call to a keeper.
 const TIME: Duration = Duration::from_secs(3);
 
+/// A keeper in another process, and the address it was made for.
+type Known = (SocketAddr, Arc<dyn Keeper>);
+
 /// The keepers as this process reaches them.
 pub struct Keepers {
     members: Arc<Members>,
     own: OnceLock<Arc<dyn Keeper>>,
-    remotes: Mutex<HashMap<id::Instance, (SocketAddr, Arc<dyn Keeper>)>>,
+    remotes: Mutex<HashMap<id::Instance, Known>>,
 }
 
 impl Keepers {
--- a/crates/gradedyke/src/kernel/peers.rs
+++ b/crates/gradedyke/src/kernel/peers.rs
@@ -39,6 +39,7 @@
         let config = ServerConfig::builder()
             .max_request_body_size(MAX_MESSAGE)
             .max_response_body_size(MAX_MESSAGE)
+            .max_connections(u32::MAX)
             .http_only()
             .build();
         let builder = jsonrpsee::server::Server::builder()
--- a/crates/gradedyke/src/kernel/process.rs
+++ b/crates/gradedyke/src/kernel/process.rs
@@ -13,16 +13,14 @@
 use gradedyke_platform::instances::{Consul, Instances};
 use gradedyke_platform::kv::KeyValue;
 use jsonrpsee::server::stop_channel;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use super::keepers::Keepers;
 use super::peers::Peers;
 use super::{Drain, Kernel, Mounts, metering, plugins};
 use crate::admin;
-use crate::current::Current;
 use crate::membership::{Member, Members};
-use crate::ownership::map::Map;
 
 /// Longest time for a call to the platform.
 const PLATFORM: Duration = Duration::from_secs(2);
@@ -48,8 +46,8 @@
     drains: Vec<Drain>,
     /// Stops the listener for callers.
     callers: CancellationToken,
-    caller_task: TaskTracker,
-    tasks: TaskTracker,
+    caller_task: JoinSet<()>,
+    tasks: JoinSet<()>,
     // Dropping it would stop the JSON-RPC service.
     _rpc: jsonrpsee::server::ServerHandle,
 }
@@ -161,7 +159,7 @@
             (plugin.mount)(&kernel, &mut mounts)
                 .wrap_err_with(|| format!("role {} cannot start", plugin.role.name()))?;
         }
-        let process = Self::serve(kernel, listeners, addresses, mounts);
+        let mut process = Self::serve(kernel, listeners, addresses, mounts);
         process.follow();
         tracing::info!(event = "started", instance = %process.kernel.settings.id,
             peer = %addresses.peer, admin = %addresses.admin,
@@ -178,12 +176,12 @@
         let (stop_handle, rpc) = stop_channel();
         let id = kernel.settings.id.clone();
         let peers = Arc::new(Peers::new(id, mounts.calls, mounts.methods, stop_handle));
-        let tasks = TaskTracker::new();
+        let mut tasks = JoinSet::new();
         tasks.spawn(listeners.peer.serve(peers, kernel.stop.clone()));
         let pages = Arc::new(admin::Pages::new(kernel.clone(), mounts.operators));
         tasks.spawn(listeners.admin.serve(pages, kernel.stop.clone()));
         let callers = kernel.stop.child_token();
-        let caller_task = TaskTracker::new();
+        let mut caller_task = JoinSet::new();
         if let (Some(listener), Some(handler)) = (listeners.caller, mounts.callers) {
             let handler: Arc<dyn Handler> = handler;
             caller_task.spawn(listener.serve(handler, callers.clone()));
@@ -200,7 +198,8 @@
     }
 
     /// Starts to follow settings, members and map, and to register.
-    fn follow(&self) {
+    fn follow(&mut self) {
+        let kernel = self.kernel.clone();
         let Kernel {
             kv,
             members,
@@ -209,28 +208,13 @@
             stop,
             settings,
             ..
-        } = &*self.kernel;
+        } = &*kernel;
         let lease = Duration::from_millis(settings.lease_ms);
-        let spawn = |task| self.tasks.spawn(task);
-        let boxed = |future: futures_util::future::BoxFuture<'static, ()>| future;
-        spawn(boxed(Box::pin(Current::follow(
-            current.clone(),
-            kv.clone(),
-            stop.clone(),
-        ))));
-        spawn(boxed(Box::pin(Map::follow(
-            map.clone(),
-            kv.clone(),
-            stop.clone(),
-        ))));
-        spawn(boxed(Box::pin(
-            members.clone().follow(kv.clone(), stop.clone()),
-        )));
-        spawn(boxed(Box::pin(members.clone().register(
-            kv.clone(),
-            lease,
-            stop.clone(),
-        ))));
+        let tasks = &mut self.tasks;
+        tasks.spawn(current.clone().follow(kv.clone(), stop.clone()));
+        tasks.spawn(map.clone().follow(kv.clone(), stop.clone()));
+        tasks.spawn(members.clone().follow(kv.clone(), stop.clone()));
+        tasks.spawn(members.clone().register(kv.clone(), lease, stop.clone()));
     }
 
     /// Where the process listens.
@@ -253,7 +237,7 @@
     /// Stops as planned: tells everybody, waits until the balancer has noticed,
     /// finishes every stream, hands the slots over, and then stops. Tells
     /// whether all that was done within the time for it.
-    pub async fn drain(self) -> bool {
+    pub async fn drain(mut self) -> bool {
         let limits = &self.kernel.settings.limits;
         let limit = Duration::from_millis(limits.drain_ms);
         let leave = Duration::from_millis(limits.leave_ms);
@@ -263,8 +247,8 @@
         let draining = async {
             tokio::time::sleep(leave).await;
             self.callers.cancel();
-            self.caller_task.close();
-            self.caller_task.wait().await;
+            while self.caller_task.join_next().await.is_some() {}
+            tracing::info!(event = "callers_gone", instance = %self.kernel.settings.id);
             for drain in &self.drains {
                 drain().await;
             }
@@ -276,10 +260,18 @@
     }
 
     /// Stops at once, cutting what is in progress.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.kernel.stop.cancel();
-        self.tasks.close();
+        let ended = async { while self.tasks.join_next().await.is_some() {} };
         // Connections of peers that are kept open do not end by themselves.
-        let _ = tokio::time::timeout(PLATFORM, self.tasks.wait()).await;
+        let _ = tokio::time::timeout(PLATFORM, ended).await;
+    }
+
+    /// Ends as a killed process does: every connection is cut, nothing is
+    /// handed over, and the registration stays until its lease lapses.
+    pub async fn kill(mut self) {
+        self.caller_task.shutdown().await;
+        self.tasks.shutdown().await;
+        self.kernel.stop.cancel();
     }
 }
--- a/crates/gradedyke/src/owner/mod.rs
+++ b/crates/gradedyke/src/owner/mod.rs
@@ -124,6 +124,7 @@
         let mut served = self.served.subscribe();
         let none = served.wait_for(|slots| *slots == 0);
         if none.await.is_ok() {
+            tracing::info!(event = "slots_gone", instance = %self.id);
             self.tasks.close();
             self.tasks.wait().await;
         }
--- a/crates/gradedyke/src/owner/tool.rs
+++ b/crates/gradedyke/src/owner/tool.rs
@@ -163,11 +163,13 @@
 /// Asks what became of a call whose answer is lost.
 async fn ask(context: &Context, choice: Option<&Choice>, cause: &str) -> Finished {
     let key = idempotency_key(&context.program, &context.request);
-    if let Some(Link::Service(service)) = choice.map(|c| &c.link) {
-        if let Some(reply) = told(&**service, &key).await {
-            tracing::info!(event = "outcome_told", program = %context.program, request = %context.request);
-            return finished(Outcome::Service(reply));
-        }
+    let reply = match choice.map(|c| &c.link) {
+        Some(Link::Service(service)) => told(&**service, &key).await,
+        _ => None,
+    };
+    if let Some(reply) = reply {
+        tracing::info!(event = "outcome_told", program = %context.program, request = %context.request);
+        return finished(Outcome::Service(reply));
     }
     tracing::warn!(event = "outcome_unknown", program = %context.program, request = %context.request);
     let message = format!(
