--- a/crates/gradedyke-journal/src/store.rs
+++ b/crates/gradedyke-journal/src/store.rs
@@ -85,6 +85,17 @@
         Self::start(database)
     }
 
+    /// Closes the store and waits until the database is let go of. Clones must
+    /// have been dropped.
+    pub async fn close(self) {
+        let Self { database, queue } = self;
+        drop(queue);
+        // The writer ends when its queue does, and drops its share then.
+        while Arc::strong_count(&database) > 1 {
+            tokio::task::yield_now().await;
+        }
+    }
+
     fn start(database: Database) -> Result<Self, Error> {
         let write = database.begin_write().map_err(failed)?;
         write.open_table(LOG).map_err(failed)?;
--- /dev/null
+++ b/crates/gradedyke-journal/tests/contract.rs
@@ -0,0 +1,179 @@
+//! The contract of a keeper, for each kind of store, and of a keeper behind
+//! JSON-RPC.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gradedyke_base::id::{Epoch, Slot};
+use gradedyke_journal::Keeper;
+use gradedyke_journal::entry::{Append, Entry, Outcome, Seal, Sealed, Tail, Trim};
+use gradedyke_journal::rpc::{ApiServer, Remote, Service};
+use gradedyke_journal::store::Store;
+use jsonrpsee::server::{Server, ServerHandle};
+use serde_json::value::to_raw_value;
+
+const SLOT: Slot = Slot(7);
+
+fn entry(index: u64, epoch: u64) -> Entry {
+    Entry {
+        index,
+        epoch: Epoch(epoch),
+        data: to_raw_value(&format!("{index}@{epoch}")).unwrap().into(),
+    }
+}
+
+/// Entries of the given epochs from `first` on, appended at epoch `by`.
+fn append(by: u64, previous: u64, first: u64, epochs: &[u64]) -> Append {
+    let entries = epochs.iter().zip(first..);
+    Append {
+        slot: SLOT,
+        epoch: Epoch(by),
+        previous: Epoch(previous),
+        restart: false,
+        entries: entries.map(|(epoch, index)| entry(index, *epoch)).collect(),
+    }
+}
+
+async fn log(keeper: &dyn Keeper) -> Vec<(u64, u64)> {
+    let page = keeper.read(SLOT, 1).await.unwrap();
+    assert!(!page.more);
+    page.entries.iter().map(|e| (e.index, e.epoch.0)).collect()
+}
+
+/// Every keeper that the contract is for. Handle and folder are kept alive.
+async fn keepers() -> (Vec<Arc<dyn Keeper>>, ServerHandle, tempfile::TempDir) {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = Store::open(folder.path()).unwrap();
+    let memory = Store::memory().unwrap();
+    let behind = Arc::new(Store::memory().unwrap());
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let address = server.local_addr().unwrap();
+    let handle = server.start(Service::new(behind).into_rpc());
+    let remote = Remote::new(address, Duration::from_secs(5)).unwrap();
+    let keepers: Vec<Arc<dyn Keeper>> = vec![Arc::new(disk), Arc::new(memory), Arc::new(remote)];
+    (keepers, handle, folder)
+}
+
+#[tokio::test]
+async fn appends_are_kept_fenced_or_a_gap() {
+    let (keepers, _server, _folder) = keepers().await;
+    for keeper in &keepers {
+        // Each case: an append, how it ends, and the log after it.
+        let cases = [
+            (append(1, 0, 1, &[1]), Outcome::Kept(1), vec![(1, 1)]),
+            // Again: harmless.
+            (append(1, 0, 1, &[1]), Outcome::Kept(1), vec![(1, 1)]),
+            // Something is missing between.
+            (append(1, 1, 3, &[1]), Outcome::Gap(2), vec![(1, 1)]),
+            (
+                append(1, 1, 2, &[1, 1]),
+                Outcome::Kept(3),
+                vec![(1, 1), (2, 1), (3, 1)],
+            ),
+            // A newer owner whose log went another way at 2.
+            (
+                append(2, 2, 3, &[2]),
+                Outcome::Gap(2),
+                vec![(1, 1), (2, 1), (3, 1)],
+            ),
+            (
+                append(2, 1, 2, &[2]),
+                Outcome::Kept(2),
+                vec![(1, 1), (2, 2)],
+            ),
+            // The older owner wakes up.
+            (
+                append(1, 1, 3, &[1]),
+                Outcome::Fenced(Epoch(2)),
+                vec![(1, 1), (2, 2)],
+            ),
+        ];
+        for (append, outcome, expected) in cases {
+            let got = keeper.append(vec![append.clone()]).await.unwrap();
+            assert_eq!(got, [outcome], "{append:?}");
+            assert_eq!(log(&**keeper).await, expected);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_seal_fences_lower_epochs_and_tells_the_tail() {
+    let (keepers, _server, _folder) = keepers().await;
+    for keeper in &keepers {
+        let seal = |epoch| Seal {
+            slot: SLOT,
+            epoch: Epoch(epoch),
+        };
+        let empty = Sealed::At(Tail::default());
+        assert_eq!(keeper.seal(vec![seal(3)]).await.unwrap(), [empty]);
+        let late = keeper.append(vec![append(2, 0, 1, &[2])]).await.unwrap();
+        assert_eq!(late, [Outcome::Fenced(Epoch(3))]);
+        let own = keeper.append(vec![append(3, 0, 1, &[3])]).await.unwrap();
+        assert_eq!(own, [Outcome::Kept(1)]);
+        let lower = keeper.seal(vec![seal(2), seal(4)]).await.unwrap();
+        let tail = Tail {
+            epoch: Epoch(3),
+            index: 1,
+        };
+        assert_eq!(lower, [Sealed::Fenced(Epoch(3)), Sealed::At(tail)]);
+    }
+}
+
+#[tokio::test]
+async fn a_trimmed_log_goes_on_and_takes_repeats() {
+    let (keepers, _server, _folder) = keepers().await;
+    for keeper in &keepers {
+        keeper
+            .append(vec![append(1, 0, 1, &[1, 1, 1])])
+            .await
+            .unwrap();
+        let trim = |epoch| Trim {
+            slot: SLOT,
+            epoch: Epoch(epoch),
+            before: 3,
+        };
+        keeper.trim(vec![trim(0)]).await.unwrap();
+        assert_eq!(log(&**keeper).await.len(), 3, "an older owner may not trim");
+        keeper.trim(vec![trim(1)]).await.unwrap();
+        assert_eq!(log(&**keeper).await, [(3, 1)]);
+        let repeat = keeper.append(vec![append(1, 0, 1, &[1])]).await.unwrap();
+        assert_eq!(repeat, [Outcome::Kept(3)]);
+        assert_eq!(
+            log(&**keeper).await,
+            [(3, 1)],
+            "a repeat may cut nothing off"
+        );
+        keeper.append(vec![append(1, 1, 4, &[1])]).await.unwrap();
+        assert_eq!(log(&**keeper).await, [(3, 1), (4, 1)]);
+    }
+}
+
+#[tokio::test]
+async fn a_store_on_disk_is_there_after_a_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    let store = Store::open(folder.path()).unwrap();
+    store.append(vec![append(5, 0, 1, &[5, 5])]).await.unwrap();
+    store.close().await;
+    let store = Store::open(folder.path()).unwrap();
+    assert_eq!(log(&store).await, [(1, 5), (2, 5)]);
+    let late = store.append(vec![append(4, 5, 3, &[4])]).await.unwrap();
+    assert_eq!(late, [Outcome::Fenced(Epoch(5))]);
+}
+
+#[tokio::test]
+async fn long_logs_are_read_in_pages() {
+    let store = Store::memory().unwrap();
+    let text = to_raw_value(&"x".repeat(1 << 20)).unwrap();
+    let data: Arc<_> = text.into();
+    let mut whole = append(1, 0, 1, &[1; 6]);
+    whole
+        .entries
+        .iter_mut()
+        .for_each(|e| e.data = Arc::clone(&data));
+    store.append(vec![whole]).await.unwrap();
+    let first = store.read(SLOT, 1).await.unwrap();
+    assert!(first.more && first.entries.len() < 6);
+    let next = first.entries.last().unwrap().index + 1;
+    let second = store.read(SLOT, next).await.unwrap();
+    assert_eq!(first.entries.len() + second.entries.len(), 6);
+}
