Test programs and refusals through the real path

Cause: order, repeats, history, budget, limits and refusals were unproved. A failed recovery is one log line for a claim, no longer one for each slot, which flooded the log when a deployment stopped.

--- a/crates/gradedyke-cli/src/demo/agents.rs
+++ b/crates/gradedyke-cli/src/demo/agents.rs
@@ -82,7 +82,7 @@
     let transcript = "The chair opened the meeting and item four was discussed. ".repeat(12);
     let body = chat(&[user(&transcript)]);
     let mut answer = caller
-        .stream(entry(), &program, &body, &Options::request("draft"))
+        .stream(entry(), &program, &body, Options::request("draft"))
         .await?;
     let mut pieces = 0;
     while answer.next().await?.is_some() {
@@ -98,7 +98,7 @@
     journey.programs.push((child.clone(), budget));
     let body = chat(&[user("Check the names against the members' list.")]);
     let checked = caller
-        .chat(entry(), &child, &body, &Options::request("check"))
+        .chat(entry(), &child, &body, Options::request("check"))
         .await?;
     journey.saw(&child, "check", text_of(&checked), false);
     caller.program(entry(), &child, "end").await?;
@@ -110,7 +110,7 @@
             &program,
             "records/export",
             "{\"draft\":1}",
-            &options,
+            options.clone(),
         )
         .await?;
     journey.saw(&program, "export", exported, true);
@@ -121,7 +121,7 @@
             &program,
             "records/export",
             "{\"draft\":1}",
-            &options,
+            options.clone(),
         )
         .await?;
 
@@ -132,7 +132,9 @@
             ..Options::request(&request)
         };
         let body = chat(&[user("What was decided on item four?")]);
-        let answer = caller.chat(entry(), &program, &body, &options).await?;
+        let answer = caller
+            .chat(entry(), &program, &body, options.clone())
+            .await?;
         journey.saw(&program, &request, text_of(&answer), false);
     }
     caller.program(entry(), &program, "end").await?;
@@ -157,7 +159,7 @@
     let first = user("Value this copy: first edition, spine worn.");
     let body = chat(std::slice::from_ref(&first));
     let valued = caller
-        .chat(entry(), &program, &body, &Options::request("value"))
+        .chat(entry(), &program, &body, Options::request("value"))
         .await?;
     journey.saw(&program, "value", text_of(&valued), false);
 
@@ -166,7 +168,13 @@
         ..Options::request("order")
     };
     let ordered = caller
-        .service(entry(), &program, "orders/place", "{\"copy\":7}", &options)
+        .service(
+            entry(),
+            &program,
+            "orders/place",
+            "{\"copy\":7}",
+            options.clone(),
+        )
         .await?;
     journey.saw(&program, "order", ordered, true);
 
@@ -174,7 +182,7 @@
     let message = valued["choices"][0]["message"].clone();
     let body = chat(&[first, message, user("List it at that price.")]);
     let listed = caller
-        .chat(entry(), &program, &body, &Options::request("list"))
+        .chat(entry(), &program, &body, Options::request("list"))
         .await?;
     journey.saw(&program, "list", text_of(&listed), false);
     caller.program(entry(), &program, "end").await?;
@@ -224,7 +232,7 @@
             ..Options::request(turn.to_string())
         };
         let body = chat(&[user(content)]);
-        caller.chat(entry, &program, &body, &options).await?;
+        caller.chat(entry, &program, &body, options.clone()).await?;
     }
     caller.program(entry, &program, "end").await?;
     Ok(program)
--- a/crates/gradedyke-client/src/lib.rs
+++ b/crates/gradedyke-client/src/lib.rs
@@ -177,7 +177,7 @@
         entry: SocketAddr,
         program: &str,
         body: &Value,
-        options: &Options,
+        options: Options,
     ) -> Result<Value, Error> {
         let headers = headers(program, options);
         self.json(Method::POST, entry, "/v1/chat/completions", &headers, body)
@@ -194,7 +194,7 @@
         entry: SocketAddr,
         program: &str,
         body: &Value,
-        options: &Options,
+        options: Options,
     ) -> Result<Answer, Error> {
         let mut body = body.clone();
         body["stream"] = true.into();
@@ -252,7 +252,7 @@
         program: &str,
         path: &str,
         body: &str,
-        options: &Options,
+        options: Options,
     ) -> Result<String, Error> {
         let path = format!("/v1/services/{path}");
         let headers = headers(program, options);
@@ -285,8 +285,8 @@
     }
 }
 
-fn headers(program: &str, options: &Options) -> Vec<(&'static str, String)> {
-    let request = options.request.clone();
+fn headers(program: &str, options: Options) -> Vec<(&'static str, String)> {
+    let request = options.request;
     let request = request.unwrap_or_else(|| id::Request::fresh().to_string());
     let mut headers = vec![(PROGRAM, program.to_owned()), (REQUEST, request)];
     if let Some(sequence) = options.sequence {
--- a/crates/gradedyke-standin/src/engine.rs
+++ b/crates/gradedyke-standin/src/engine.rs
@@ -98,6 +98,7 @@
     orders: Vec<Value>,
     clock: u64,
     leaving: bool,
+    reports: u64,
     /// Calls stand still when they have generated so many tokens.
     hold_at: Option<u64>,
 }
@@ -186,6 +187,11 @@
         self.lock().orders.clone()
     }
 
+    /// Number of load reports given so far.
+    pub fn reports(&self) -> u64 {
+        self.lock().reports
+    }
+
     /// Waits until `wanted` holds for the engine.
     pub async fn until(&self, wanted: impl Fn(&Self) -> bool) {
         let mut changed = self.changed.subscribe();
@@ -365,9 +371,11 @@
 
     fn get(self: &Arc<Self>, path: &str, query: u64) -> Response<Body> {
         let aged = Instant::now() - Duration::from_millis(self.config.lag_ms);
-        let state = self.lock();
+        let mut state = self.lock();
         match path {
             "/control/load" => {
+                state.reports += 1;
+                self.changed.send_replace(());
                 let old = state.loads.iter().rev().find(|(at, _)| *at <= aged);
                 let load = old.map_or_else(|| json!({}), |(_, load)| load.clone());
                 let mut load = load;
--- a/crates/gradedyke-world/src/lib.rs
+++ b/crates/gradedyke-world/src/lib.rs
@@ -225,10 +225,14 @@
         }
     }
 
-    /// Stops everything.
+    /// Ends everything at once, so that no instance takes another's slots over
+    /// meanwhile.
     pub async fn stop(self) {
-        for process in self.processes.into_iter().flatten() {
-            process.stop().await;
+        let processes = self.processes.into_iter().flatten();
+        let ending: Vec<_> = processes.map(|p| tokio::spawn(p.kill())).collect();
+        for process in ending {
+            // It has ended either way.
+            let _ = process.await;
         }
         self.stop.cancel();
     }
--- a/crates/gradedyke/src/owner/takeover.rs
+++ b/crates/gradedyke/src/owner/takeover.rs
@@ -116,19 +116,23 @@
             .collect();
         let token = |slot: Slot| tokens.get(&slot).cloned().unwrap_or_default();
         let recovered = recover::recover(&self.journal, claim, token).await;
-        let mut whole = true;
+        let mut left = 0;
+        let mut cause = None;
         for (slot, result) in recovered {
             match result {
                 Ok(recovered) => self.serve(slot, recovered, token(slot)).await,
                 // The map will say who has it.
                 Err(Error::Fenced(_)) => {}
                 Err(error) => {
-                    whole = false;
-                    tracing::warn!(event = "slot_not_recovered", %slot, %error);
+                    left += 1;
+                    cause = Some(error);
                 }
             }
         }
-        whole
+        if let Some(error) = cause {
+            tracing::warn!(event = "slots_not_recovered", slots = left, %error);
+        }
+        left == 0
     }
 
     /// Serves a recovered slot and goes on with the calls found open in it.
--- a/crates/gradedyke/tests/failures.rs
+++ b/crates/gradedyke/tests/failures.rs
@@ -42,7 +42,7 @@
         hold(&world, Some(HELD_AT));
         let body = chat(&[user("Draft the minutes.")]);
         let options = Options::request("draft");
-        let streaming = caller.stream(entry(&world, dies), &program, &body, &options);
+        let streaming = caller.stream(entry(&world, dies), &program, &body, options.clone());
         let mut stream = streaming.await.unwrap();
         let first = stream.next().await.unwrap().unwrap();
         let offset = stream.offset;
@@ -75,14 +75,17 @@
         let program = opening.await.unwrap();
         let body = chat(&[user("Draft the minutes.")]);
         let options = Options::request("first");
-        let first = caller.chat(at, &program, &body, &options).await.unwrap();
+        let first = caller
+            .chat(at, &program, &body, options.clone())
+            .await
+            .unwrap();
 
         let through = entry(&world, other(&world, &program));
         let dies = owner(&world, &program);
         hold(&world, Some(HELD_AT));
         let body = chat(&[user("And item four?")]);
         let options = append("second");
-        let streaming = caller.stream(through, &program, &body, &options);
+        let streaming = caller.stream(through, &program, &body, options.clone());
         let mut stream = streaming.await.unwrap();
         stream.next().await.unwrap().unwrap();
         kill(&mut world, dies).await;
@@ -118,8 +121,12 @@
         world.orders.set(Mode::LoseAnswer);
         let options = Options::request("order");
         let path = "orders/place";
-        let first = caller.service(one, &program, path, "{}", &options).await;
-        let again = caller.service(two, &program, path, "{}", &options).await;
+        let first = caller
+            .service(one, &program, path, "{}", options.clone())
+            .await;
+        let again = caller
+            .service(two, &program, path, "{}", options.clone())
+            .await;
         assert_eq!(first.unwrap(), again.unwrap());
         assert_eq!(world.orders.runs().len(), 1);
         world.stop().await;
@@ -140,7 +147,7 @@
         for mode in [Mode::LoseAnswer, Mode::Well] {
             world.orders.set(mode);
             let options = Options::request("order");
-            let calling = caller.service(at, &program, "orders/place", "{}", &options);
+            let calling = caller.service(at, &program, "orders/place", "{}", options.clone());
             assert_eq!(kind(calling.await), Kind::OutcomeUnknown);
         }
         assert_eq!(world.orders.runs().len(), 1);
@@ -160,7 +167,7 @@
         world.orders.set(Mode::Hang);
         let ordering = tokio::spawn(async move {
             let options = Options::request("order");
-            let calling = caller.service(through, &program, "orders/place", "{}", &options);
+            let calling = caller.service(through, &program, "orders/place", "{}", options.clone());
             calling.await
         });
         world.orders.until(|s| !s.runs().is_empty()).await;
@@ -187,7 +194,7 @@
             let program = opening.await.unwrap();
             let body = chat(&[user(&format!("Draft number {number}."))]);
             let options = Options::request("draft");
-            let streaming = caller.stream(at, &program, &body, &options);
+            let streaming = caller.stream(at, &program, &body, options.clone());
             let mut stream = streaming.await.unwrap();
             stream.next().await.unwrap().unwrap();
             streams.push((program, stream));
@@ -209,7 +216,10 @@
             let at = world.entry(number);
             let body = chat(&[user("Go on.")]);
             let options = append("next");
-            caller.chat(at, program, &body, &options).await.unwrap();
+            caller
+                .chat(at, program, &body, options.clone())
+                .await
+                .unwrap();
             let reading = caller.program(at, program, "history");
             let history = reading.await.unwrap();
             let messages = history["messages"].as_array().unwrap();
--- /dev/null
+++ b/crates/gradedyke/tests/refusals.rs
@@ -0,0 +1,343 @@
+//! What listeners refuse: at once, in words that name the remedy, and without
+//! telling anything about another client account.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_client::Options;
+use gradedyke_world::{Config, JORDAN, KESTREL, OPERATOR, World, chat, user};
+use http::{Method, StatusCode, header};
+use serde_json::json;
+use support::{kind, run};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+struct Case {
+    name: &'static str,
+    method: Method,
+    path: String,
+    key: Option<&'static str>,
+    program: Option<String>,
+    body: String,
+    expected: Kind,
+}
+
+async fn send(address: SocketAddr, case: &Case) -> (StatusCode, Vec<u8>) {
+    let client = gradedyke_http::Client::new(&gradedyke_http::client::Config::default());
+    let body = gradedyke_http::body::full(case.body.clone());
+    let method = case.method.clone();
+    let mut request = gradedyke_http::client::build(method, address, &case.path, body).unwrap();
+    let headers = request.headers_mut();
+    if let Some(key) = case.key {
+        let value = format!("Bearer {key}").parse().unwrap();
+        headers.insert(header::AUTHORIZATION, value);
+    }
+    if let Some(program) = &case.program {
+        headers.insert("gradedyke-program", program.parse().unwrap());
+    }
+    let reply = client.send(address, request).await.unwrap();
+    let status = reply.status();
+    let bytes = gradedyke_http::client::collect(address, reply.into_body()).await;
+    (status, bytes.unwrap().to_vec())
+}
+
+/// The cases for callers, in a world where `own` is Kestrel's program and
+/// `foreign` Jordan's.
+fn cases(own: &str, foreign: &str) -> Vec<Case> {
+    let draft = chat(&[user("Draft.")]).to_string();
+    let completions = "/v1/chat/completions";
+    let case = |name, method, path: &str, key, program: Option<&str>, body: &str, expected| Case {
+        name,
+        method,
+        path: path.to_owned(),
+        key,
+        program: program.map(str::to_owned),
+        body: body.to_owned(),
+        expected,
+    };
+    let post = |name, path: &str, body: &str, expected| {
+        case(
+            name,
+            Method::POST,
+            path,
+            Some(KESTREL),
+            None,
+            body,
+            expected,
+        )
+    };
+    let call = |name, program: &str, body: &str, expected| {
+        let program = Some(program);
+        case(
+            name,
+            Method::POST,
+            completions,
+            Some(KESTREL),
+            program,
+            body,
+            expected,
+        )
+    };
+    let no_model = json!({ "model": "other", "messages": [user("x")] }).to_string();
+    let two = json!({ "model": "demo-7b", "messages": [user("x")], "n": 2 }).to_string();
+    let large = "x".repeat(70_000);
+    vec![
+        case(
+            "no key",
+            Method::GET,
+            "/v1/models",
+            None,
+            None,
+            "",
+            Kind::Unauthorized,
+        ),
+        case(
+            "wrong key",
+            Method::GET,
+            "/v1/models",
+            Some("no"),
+            None,
+            "",
+            Kind::Unauthorized,
+        ),
+        case(
+            "operator's key",
+            Method::GET,
+            "/v1/models",
+            Some(OPERATOR),
+            None,
+            "",
+            Kind::Unauthorized,
+        ),
+        post("no such path", "/v1/nothing", "", Kind::NoRoute),
+        post("wrong method", "/v1/models", "", Kind::BadMethod),
+        post("bad JSON", "/v1/programs", "{\"agent\":", Kind::BadRequest),
+        post(
+            "unknown field",
+            "/v1/programs",
+            "{\"agent\":\"minutes\",\"x\":1}",
+            Kind::BadRequest,
+        ),
+        post(
+            "foreign agent",
+            "/v1/programs",
+            "{\"agent\":\"valuation\"}",
+            Kind::NotFound,
+        ),
+        post("too large", "/v1/programs", &large, Kind::TooLarge),
+        post("no program", completions, &draft, Kind::BadRequest),
+        call("unknown program", "nobody", &draft, Kind::NotFound),
+        call("foreign program", foreign, &draft, Kind::NotFound),
+        call("malformed program id", "a b", &draft, Kind::BadRequest),
+        call("unknown model", own, &no_model, Kind::NotFound),
+        call("two choices", own, &two, Kind::BadRequest),
+        case(
+            "foreign history",
+            Method::GET,
+            &format!("/v1/programs/{foreign}/history"),
+            Some(KESTREL),
+            None,
+            "",
+            Kind::NotFound,
+        ),
+        case(
+            "foreign end",
+            Method::POST,
+            &format!("/v1/programs/{foreign}/end"),
+            Some(KESTREL),
+            None,
+            "",
+            Kind::NotFound,
+        ),
+        case(
+            "unknown request",
+            Method::GET,
+            &format!("/v1/programs/{own}/requests/none"),
+            Some(KESTREL),
+            None,
+            "",
+            Kind::NotFound,
+        ),
+        case(
+            "foreign service",
+            Method::POST,
+            "/v1/services/orders/place",
+            Some(KESTREL),
+            Some(own),
+            "{}",
+            Kind::NotFound,
+        ),
+        case(
+            "child of a foreign program",
+            Method::POST,
+            &format!("/v1/programs/{foreign}/children"),
+            Some(KESTREL),
+            None,
+            "{\"agent\":\"minutes\"}",
+            Kind::NotFound,
+        ),
+    ]
+}
+
+#[test]
+fn callers_get_typed_refusals() {
+    run(async {
+        let config = Config {
+            limits: json!({ "leave_ms": 0, "body_bytes": 65_536 }),
+            ..Config::default()
+        };
+        let world = World::start(config).await.unwrap();
+        let at = world.entry(0);
+        let (kestrel, jordan) = (world.kestrel(), world.jordan());
+        let own = kestrel.open(at, "minutes", None, None, "open");
+        let own = own.await.unwrap();
+        let foreign = jordan.open(at, "valuation", None, None, "open");
+        let foreign = foreign.await.unwrap();
+        let mut words = std::collections::BTreeMap::new();
+        for case in cases(&own, &foreign) {
+            let (status, body) = send(at, &case).await;
+            let problem = Problem::from_body(&body);
+            let problem = problem.unwrap_or_else(|| panic!("{}: {body:?}", case.name));
+            assert_eq!(problem.kind, case.expected, "{}: {problem}", case.name);
+            assert_eq!(status.as_u16(), problem.kind.status(), "{}", case.name);
+            assert!(problem.not_run, "{}", case.name);
+            words.insert(case.name, problem.message);
+        }
+        // What is another's looks like what is not there.
+        assert_eq!(words["unknown program"], words["foreign program"]);
+        assert_eq!(words["no key"], words["wrong key"]);
+        insta::assert_json_snapshot!(words);
+        // Nothing of this disturbed anybody.
+        let body = chat(&[user("Draft.")]);
+        let call = kestrel.chat(at, &own, &body, Options::request("draft"));
+        call.await.unwrap();
+        let info = world.jordan().program(at, &foreign, "").await.unwrap();
+        assert_eq!(info["ended"], json!(null));
+        world.stop().await;
+    });
+}
+
+#[test]
+fn slow_and_half_closed_callers_are_let_go() {
+    run(async {
+        let config = Config {
+            limits: json!({ "leave_ms": 0, "head_ms": 100, "body_ms": 100, "connections": 4 }),
+            ..Config::default()
+        };
+        let world = World::start(config).await.unwrap();
+        let at = world.entry(0);
+        let head = format!(
+            "POST /v1/programs HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KESTREL}\r\n\
+             content-length: 100\r\n\r\n"
+        );
+        // Each case: what is sent before the caller falls silent, whether it
+        // closes its side, and what it gets.
+        let cases = [
+            ("", false, ""),
+            ("POST /v1/pro", false, ""),
+            (&head, false, "408"),
+            (&head, true, ""),
+        ];
+        for (sent, half_closed, expected) in cases {
+            let mut stream = TcpStream::connect(at).await.unwrap();
+            stream.write_all(sent.as_bytes()).await.unwrap();
+            if half_closed {
+                stream.shutdown().await.unwrap();
+            }
+            let mut got = String::new();
+            stream.read_to_string(&mut got).await.unwrap();
+            assert!(got.contains(expected), "{sent:?}: {got:?}");
+        }
+        let opening = world.jordan();
+        let opening = opening.open(at, "valuation", None, None, "open");
+        opening.await.expect("the places should be free again");
+        world.stop().await;
+    });
+}
+
+#[test]
+fn a_full_client_account_is_told_at_once_when_to_come_back() {
+    run(async {
+        let mut world = World::start(Config::default()).await.unwrap();
+        world.tree["accounts"]["kestrel"]["concurrent"] = json!(1);
+        world.apply().await.unwrap();
+        let at = world.entry(0);
+        let caller = world.kestrel();
+        let opening = caller.open(at, "minutes", None, None, "open");
+        let program = opening.await.unwrap();
+        world.engines.iter().for_each(|e| e.hold_at(Some(1)));
+        let body = chat(&[user("Draft.")]);
+        let options = Options::request("draft");
+        let mut stream = caller
+            .stream(at, &program, &body, options.clone())
+            .await
+            .unwrap();
+        stream.next().await.unwrap().unwrap();
+        let refused = caller.chat(at, &program, &body, Options::request("more"));
+        let refused = refused.await.unwrap_err();
+        let problem = gradedyke_client::problem(&refused).unwrap();
+        assert_eq!(problem.kind, Kind::Overloaded);
+        assert!(problem.retry_after_ms.is_some() && problem.not_run);
+        // Another client account does not notice.
+        let jordan = world.jordan();
+        let opening = jordan.open(at, "valuation", None, None, "open");
+        opening.await.unwrap();
+        world.engines.iter().for_each(|e| e.hold_at(None));
+        stream.rest().await.unwrap();
+        world.stop().await;
+    });
+}
+
+#[test]
+fn operators_get_typed_refusals() {
+    run(async {
+        let world = World::start(Config::default()).await.unwrap();
+        let process = world.processes[0].as_ref().unwrap();
+        let at = process.addresses().admin;
+        let path = "/admin/v1/settings";
+        let case = |name, method, key, body: &str, expected| Case {
+            name,
+            method,
+            path: path.to_owned(),
+            key,
+            program: None,
+            body: body.to_owned(),
+            expected,
+        };
+        let cases = [
+            case("no key", Method::GET, None, "", Kind::Unauthorized),
+            case(
+                "a caller's key",
+                Method::GET,
+                Some(JORDAN),
+                "",
+                Kind::Unauthorized,
+            ),
+            case(
+                "no revision",
+                Method::PUT,
+                Some(OPERATOR),
+                "{}",
+                Kind::BadRequest,
+            ),
+            case(
+                "wrong method",
+                Method::DELETE,
+                Some(OPERATOR),
+                "",
+                Kind::BadMethod,
+            ),
+        ];
+        for case in cases {
+            let (status, body) = send(at, &case).await;
+            let problem = Problem::from_body(&body).unwrap();
+            assert_eq!(problem.kind, case.expected, "{}: {problem}", case.name);
+            assert_eq!(status.as_u16(), problem.kind.status(), "{}", case.name);
+        }
+        let anyone = kind(world.jordan().program(at, "x", "").await);
+        assert_eq!(anyone, Kind::Unauthorized);
+        world.stop().await;
+    });
+}
--- a/crates/gradedyke/tests/support/mod.rs
+++ b/crates/gradedyke/tests/support/mod.rs
@@ -19,7 +19,7 @@
 /// Writes the logs of a failed test, at the level in `GRADEDYKE_LOG`.
 fn log() {
     let filter = EnvFilter::try_from_env("GRADEDYKE_LOG");
-    let filter = filter.unwrap_or_else(|_| EnvFilter::new("warn"));
+    let filter = filter.unwrap_or_else(|_| EnvFilter::new("error"));
     let layer = tracing_logfmt::builder()
         .layer()
         .with_writer(std::io::stderr);
