--- /dev/null
+++ b/crates/gradedyke-cli/tests/words.rs
@@ -0,0 +1,89 @@
+//! The command line's words: help for each command, exit codes, errors.
+
+use std::process::Command;
+
+fn gradedyke(words: &[&str]) -> (i32, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_gradedyke"))
+        .args(words)
+        .output();
+    let output = output.unwrap();
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (
+        output.status.code().unwrap(),
+        text(&output.stdout),
+        text(&output.stderr),
+    )
+}
+
+#[test]
+fn every_command_has_help() {
+    for command in ["demo", "run", "settings", "status", "standin", "key"] {
+        let (code, help, _) = gradedyke(&[command, "--help"]);
+        assert_eq!(code, 0);
+        let usage = format!("usage: gradedyke {command}");
+        assert!(help.contains(&usage), "{help}");
+        let (_, general, _) = gradedyke(&["--help"]);
+        assert!(general.contains(command), "{general}");
+    }
+}
+
+#[test]
+fn wrong_words_exit_with_two_and_say_why() {
+    // Each case: the words, and a part of what is said.
+    let cases: [(&[&str], &str); 8] = [
+        (&["cook"], "no command cook"),
+        (&["run"], "--settings"),
+        (&["run", "--settings", "/nowhere.jsonc"], "cannot be read"),
+        (&["demo", "--instances", "0"], "use 1 or more"),
+        (&["demo", "--fast"], "--fast is not understood"),
+        (&["settings"], "settings what?"),
+        (&["settings", "check", "/nowhere.jsonc"], "cannot be read"),
+        (
+            &["standin", "oven", "--listen", "127.0.0.1:0"],
+            "no stand-in oven",
+        ),
+    ];
+    for (words, expected) in cases {
+        let (code, _, error) = gradedyke(words);
+        assert_eq!(code, 2, "{words:?}: {error}");
+        assert!(error.contains(expected), "{words:?}: {error}");
+    }
+}
+
+#[test]
+fn settings_are_checked_with_file_line_and_path() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("tree.jsonc");
+    std::fs::write(&file, "{\n  // two faults\n  \"defaults\": {\n    \"max_turns\": 0,\n    \"idle_ms\": 0\n  }\n}\n").unwrap();
+    let name = file.to_str().unwrap();
+    let (code, _, error) = gradedyke(&["settings", "check", name]);
+    assert_eq!(code, 2);
+    for place in [":4: at defaults.max_turns: ", ":5: at defaults.idle_ms: "] {
+        assert!(error.contains(place), "{error}");
+    }
+    std::fs::write(&file, "{}").unwrap();
+    assert_eq!(gradedyke(&["settings", "check", name]).0, 0);
+}
+
+#[test]
+fn the_examples_are_right() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    let mut found = 0;
+    for deployment in ["kestrel", "jordan"] {
+        let tree = format!("{examples}/{deployment}/tree.jsonc");
+        let (code, _, error) = gradedyke(&["settings", "check", &tree]);
+        assert_eq!(code, 0, "{error}");
+        let instance = format!("{examples}/{deployment}/instance-1.jsonc");
+        let (code, _, error) = gradedyke(&["settings", "check", &instance, "--instance"]);
+        assert_eq!(code, 0, "{error}");
+        found += 1;
+    }
+    assert_eq!(found, 2);
+}
+
+#[test]
+fn an_admin_that_is_not_there_is_a_failure_not_a_usage_error() {
+    let (code, _, error) = gradedyke(&["status", "--admin", "127.0.0.1:1", "--key", "x"]);
+    assert_eq!(code, 1);
+    assert!(error.contains("cannot be reached"), "{error}");
+}
--- a/crates/gradedyke/src/admin/mod.rs
+++ b/crates/gradedyke/src/admin/mod.rs
@@ -70,6 +70,9 @@
         let reason = match (self.kernel.drain.is_cancelled(), self.kernel.map.loaded()) {
             (true, _) => "draining",
             (_, false) => "the key-value service has not been read yet",
+            _ if !self.kernel.map.assigned() => {
+                "programs have no owners yet; see whether enough keepers run"
+            }
             _ => "no settings are in force; apply some with gradedyke settings apply",
         };
         let problem = Problem::new(Kind::Unavailable, reason);
--- a/crates/gradedyke/src/kernel/mod.rs
+++ b/crates/gradedyke/src/kernel/mod.rs
@@ -56,7 +56,7 @@
     /// Whether callers may be sent here.
     pub fn ready(&self) -> bool {
         let current = self.current.get();
-        current.revision > 0 && self.map.loaded() && !self.drain.is_cancelled()
+        current.revision > 0 && self.map.assigned() && !self.drain.is_cancelled()
     }
 }
 
--- a/crates/gradedyke/src/ownership/map.rs
+++ b/crates/gradedyke/src/ownership/map.rs
@@ -161,6 +161,12 @@
         *self.loaded.borrow()
     }
 
+    /// Whether every slot has been given to an owner.
+    pub fn assigned(&self) -> bool {
+        let view = self.view.borrow();
+        view.iter().all(|version| version.revision > 0)
+    }
+
     /// Who owns a slot, as far as is known here.
     pub fn holder(&self, slot: Slot) -> Option<Holder> {
         let (shard, place) = place(slot);
