--- a/crates/gradedyke-http/src/client.rs
+++ b/crates/gradedyke-http/src/client.rs
@@ -97,6 +97,12 @@
     }
 }
 
+/// Bytes that may wait on one HTTP/2 stream for a slow reader.
+const STREAM_WINDOW: u32 = 64 << 10;
+/// Bytes that may wait on one HTTP/2 connection: the most there is, so that the
+/// readers of some streams cannot hold up those of others.
+const CONNECTION_WINDOW: u32 = (1 << 31) - 1;
+
 /// Longest JSON reply that is read, in bytes.
 pub const MAX_REPLY: usize = 64 << 20;
 
@@ -120,7 +126,8 @@
             .timer(TokioTimer::new())
             .pool_timer(TokioTimer::new())
             .http2_only(config.http2)
-            .http2_adaptive_window(config.http2);
+            .http2_initial_stream_window_size(STREAM_WINDOW)
+            .http2_initial_connection_window_size(CONNECTION_WINDOW);
         if !config.keep {
             builder.pool_max_idle_per_host(0);
         }
--- a/crates/gradedyke-http/src/server.rs
+++ b/crates/gradedyke-http/src/server.rs
@@ -59,6 +59,10 @@
     }
 }
 
+/// HTTP/2 streams at a time on one connection. One connection carries all calls
+/// from an entry to an owner, so the usual couple of hundred would let held
+/// streams keep every later call waiting.
+const STREAMS: u32 = 1 << 20;
 /// Wait after a failed accept, such as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -149,7 +153,10 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(config.head);
-    builder.http2().timer(TokioTimer::new());
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(STREAMS);
     if config.protocol == Protocol::Http1 {
         builder = builder.http1_only();
     }
--- a/crates/gradedyke-standin/src/engine.rs
+++ b/crates/gradedyke-standin/src/engine.rs
@@ -90,6 +90,7 @@
     waiting: Vec<String>,
     running: Vec<String>,
     cache: BTreeMap<String, Cached>,
+    cached_tokens: u64,
     pins: BTreeSet<(String, String)>,
     events: Vec<(Instant, Value)>,
     event_number: u64,
@@ -454,10 +455,15 @@
 
 impl State {
     fn admit(&mut self, batch: usize) {
-        while self.running.len() < batch && !self.waiting.is_empty() {
-            let rank = |name: &String| self.attempts.get(name).map(|a| (a.priority, a.order));
-            let first = (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i]));
-            let name = self.waiting.swap_remove(first.unwrap_or(0));
+        let free = batch.saturating_sub(self.running.len());
+        if free == 0 || self.waiting.is_empty() {
+            return;
+        }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        let rank = |name: &String| self.attempts.get(name).map(|a| (a.priority, a.order));
+        waiting.sort_by_cached_key(rank);
+        self.waiting = waiting.split_off(free.min(waiting.len()));
+        for name in waiting {
             self.begin(&name);
             self.running.push(name);
         }
@@ -493,6 +499,8 @@
         self.clock += 1;
         let used = self.clock;
         let before = self.cache.insert(key.to_owned(), Cached { tokens, used });
+        self.cached_tokens += tokens;
+        self.cached_tokens -= before.map_or(0, |b| b.tokens);
         if before.is_none() {
             self.event(key, true);
         }
@@ -505,15 +513,14 @@
     }
 
     fn evict(&mut self, capacity: u64) {
-        let mut total: u64 = self.cache.values().map(|c| c.tokens).sum();
-        while total > capacity {
+        while self.cached_tokens > capacity {
             let pinned: BTreeSet<&String> = self.pins.iter().map(|(_, key)| key).collect();
             let free = self.cache.iter().filter(|(key, _)| !pinned.contains(key));
             let Some(oldest) = free.min_by_key(|(_, c)| c.used) else {
                 return;
             };
             let key = oldest.0.clone();
-            total -= self.cache.remove(&key).map_or(0, |c| c.tokens);
+            self.cached_tokens -= self.cache.remove(&key).map_or(0, |c| c.tokens);
             self.event(&key, false);
         }
     }
--- a/crates/gradedyke/src/routing/fleet.rs
+++ b/crates/gradedyke/src/routing/fleet.rs
@@ -171,9 +171,14 @@
         cached: impl Fn(&Server) -> u64,
     ) -> Vec<Candidate> {
         let servers = self.lock();
-        let able = servers
-            .iter()
-            .filter(|(key, s)| fits(s) && s.takes_work(now) && !avoid.contains(key));
+        let stays = |(key, s): &(Key, &Server)| fits(s) && !s.leaves() && !avoid.contains(key);
+        let mut able: Vec<_> = servers.iter().filter(stays).collect();
+        // A rest spares a failed backend server while others do its work. When
+        // all of them rest, it would only refuse work that might succeed.
+        if able.iter().any(|(_, s)| !s.rests(now)) {
+            able.retain(|(_, s)| !s.rests(now));
+        }
+        let able = able.into_iter();
         able.map(|(key, s)| Candidate {
             key,
             pending_tokens: s.load.pending_tokens + s.sent_tokens,
@@ -295,9 +300,12 @@
 }
 
 impl Server {
-    fn takes_work(&self, now: Instant) -> bool {
-        let leaving = self.load.leaving || self.listed_leaving;
-        !leaving && self.rests_until.is_none_or(|until| until <= now)
+    fn leaves(&self) -> bool {
+        self.load.leaving || self.listed_leaving
+    }
+
+    fn rests(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| until > now)
     }
 
     /// Tokens of the longest known prefix of `chain`.
--- a/crates/gradedyke/tests/programs.rs
+++ b/crates/gradedyke/tests/programs.rs
@@ -107,6 +107,41 @@
     });
 }
 
+#[test]
+fn hundreds_of_streams_pass_between_one_entry_and_one_owner() {
+    run(async {
+        let engine = gradedyke_standin::engine::Config {
+            batch: 1_000,
+            ..Default::default()
+        };
+        let config = Config {
+            instances: 1,
+            engines: vec![engine],
+            ..Config::default()
+        };
+        let world = World::start(config).await.unwrap();
+        let caller = world.kestrel();
+        let at = world.entry(0);
+        world.engines.iter().for_each(|e| e.hold_at(Some(1)));
+        let mut streams = Vec::new();
+        for number in 0..300 {
+            let opened = format!("open-{number}");
+            let opening = caller.open(at, "minutes-plain", None, None, &opened);
+            let program = opening.await.unwrap();
+            let body = chat(&[user("Draft.")]);
+            let options = Options::request("draft");
+            let mut stream = caller.stream(at, &program, &body, options).await.unwrap();
+            stream.next().await.unwrap().unwrap();
+            streams.push(stream);
+        }
+        world.engines.iter().for_each(|e| e.hold_at(None));
+        for stream in streams {
+            stream.rest().await.unwrap();
+        }
+        world.stop().await;
+    });
+}
+
 #[test]
 fn a_history_is_kept_and_must_be_gone_on_from() {
     run(async {
