Never take an empty store for the keeper it replaced

Cause: found by reading. A keeper was known by its instance, so one that came back with an empty store still counted as a copy; with another copy lagging, a majority of the two would have lost what had been promised as kept.

Change: a store gets an identity when it is made; a keeper's name is its instance and that identity; each call names the store it is meant for and is refused by any other. Given up: a slot that has lost two of its three stores is not served, where before it might have been served with a hole.

After: the whole test command passes, the new contract test among it.

--- a/crates/gradedyke-base/src/id.rs
+++ b/crates/gradedyke-base/src/id.rs
@@ -99,12 +99,43 @@
     Instance,
     "instance"
 );
+text_id!(
+    /// A keeper: an instance and the store it keeps the journal in.
+    ///
+    /// An instance that comes back with an empty store is another keeper. Taken
+    /// for the old one it would count as a copy of what it never had.
+    Keeper,
+    "keeper"
+);
 text_id!(
     /// A backend server.
     Backend,
     "backend server"
 );
 
+impl Keeper {
+    /// The keeper on `instance` whose store has the given identity.
+    ///
+    /// ```
+    /// use gradedyke_base::id::{Instance, Keeper};
+    ///
+    /// let instance = Instance::parse("north-1").unwrap();
+    /// let keeper = Keeper::new(&instance, "0a1b");
+    /// assert_eq!(keeper.parts(), Some(("north-1", "0a1b")));
+    /// ```
+    pub fn new(instance: &Instance, store: &str) -> Self {
+        Self(format!("{instance}{STORE_MARK}{store}"))
+    }
+
+    /// The names of the instance and of its store.
+    pub fn parts(&self) -> Option<(&str, &str)> {
+        self.0.rsplit_once(STORE_MARK)
+    }
+}
+
+/// Separates a keeper's instance from its store.
+const STORE_MARK: char = ':';
+
 /// Number of random or hashed bytes in a fresh identifier.
 const FRESH_BYTES: usize = 12;
 
--- a/crates/gradedyke-journal/src/log.rs
+++ b/crates/gradedyke-journal/src/log.rs
@@ -37,14 +37,14 @@
 
 /// Finds keepers by name.
 pub trait Directory: Send + Sync {
-    /// The keeper on `instance`, if its address is known.
-    fn keeper(&self, instance: &id::Instance) -> Option<Arc<dyn Keeper>>;
+    /// How a keeper is reached, if its address is known.
+    fn keeper(&self, keeper: &id::Keeper) -> Option<Arc<dyn Keeper>>;
 }
 
 /// All logs of one owner: one task for each keeper gathers their appends.
 pub struct Journal {
     directory: Arc<dyn Directory>,
-    peers: Mutex<HashMap<id::Instance, Peer>>,
+    peers: Mutex<HashMap<id::Keeper, Peer>>,
     stop: CancellationToken,
 }
 
@@ -59,15 +59,15 @@
         })
     }
 
-    /// The keeper on `instance`, if its address is known.
-    pub fn keeper(&self, instance: &id::Instance) -> Option<Arc<dyn Keeper>> {
-        self.directory.keeper(instance)
+    /// How a keeper is reached, if its address is known.
+    pub fn keeper(&self, keeper: &id::Keeper) -> Option<Arc<dyn Keeper>> {
+        self.directory.keeper(keeper)
     }
 
-    pub(crate) fn peer(self: &Arc<Self>, instance: &id::Instance) -> Peer {
+    pub(crate) fn peer(self: &Arc<Self>, keeper: &id::Keeper) -> Peer {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let start = || Peer::start(instance.clone(), self.directory.clone(), &self.stop);
-        peers.entry(instance.clone()).or_insert_with(start).clone()
+        let start = || Peer::start(keeper.clone(), self.directory.clone(), &self.stop);
+        peers.entry(keeper.clone()).or_insert_with(start).clone()
     }
 }
 
@@ -80,7 +80,7 @@
 pub struct Log {
     slot: Slot,
     epoch: Epoch,
-    keepers: Arc<[id::Instance]>,
+    keepers: Arc<[id::Keeper]>,
     peers: Vec<Peer>,
     tail: Mutex<Tail>,
     stop: CancellationToken,
@@ -93,7 +93,7 @@
         journal: &Arc<Journal>,
         slot: Slot,
         epoch: Epoch,
-        keepers: Arc<[id::Instance]>,
+        keepers: Arc<[id::Keeper]>,
         tail: Tail,
         stop: CancellationToken,
     ) -> Arc<Self> {
@@ -114,7 +114,7 @@
     }
 
     /// The keepers of this log.
-    pub fn keepers(&self) -> &[id::Instance] {
+    pub fn keepers(&self) -> &[id::Keeper] {
         &self.keepers
     }
 
--- a/crates/gradedyke-journal/src/peer.rs
+++ b/crates/gradedyke-journal/src/peer.rs
@@ -69,7 +69,7 @@
 /// An append on its way to one keeper.
 struct Item {
     append: Append,
-    keepers: Arc<[id::Instance]>,
+    keepers: Arc<[id::Keeper]>,
     round: Arc<Round>,
 }
 
@@ -81,7 +81,7 @@
 
 impl Peer {
     pub(crate) fn start(
-        instance: id::Instance,
+        instance: id::Keeper,
         directory: Arc<dyn Directory>,
         stop: &CancellationToken,
     ) -> Self {
@@ -100,7 +100,7 @@
         Self { queue }
     }
 
-    pub(crate) fn push(&self, append: Append, keepers: Arc<[id::Instance]>, round: Arc<Round>) {
+    pub(crate) fn push(&self, append: Append, keepers: Arc<[id::Keeper]>, round: Arc<Round>) {
         let item = Item {
             append,
             keepers,
@@ -114,7 +114,7 @@
 }
 
 struct Task {
-    instance: id::Instance,
+    instance: id::Keeper,
     directory: Arc<dyn Directory>,
 }
 
@@ -222,7 +222,7 @@
 /// Entries that one keeper lacks: from `from` up to but not including `to`.
 struct Gap<'a> {
     append: &'a Append,
-    keepers: &'a [id::Instance],
+    keepers: &'a [id::Keeper],
     from: Index,
     to: Index,
 }
--- a/crates/gradedyke-journal/src/recover.rs
+++ b/crates/gradedyke-journal/src/recover.rs
@@ -26,7 +26,7 @@
     /// The slots.
     pub seals: Vec<Seal>,
     /// Their keepers.
-    pub keepers: Arc<[id::Instance]>,
+    pub keepers: Arc<[id::Keeper]>,
 }
 
 /// A slot that may be served from now on.
--- a/crates/gradedyke-journal/src/rpc.rs
+++ b/crates/gradedyke-journal/src/rpc.rs
@@ -25,35 +25,51 @@
 /// Code of the JSON-RPC error for a failed store.
 const STORE_FAILED: i32 = -32_001;
 
-/// The methods of a keeper.
+/// Code of the JSON-RPC error for a call that was meant for another store.
+const OTHER_STORE: i32 = -32_002;
+
+/// The methods of a keeper. Each call names the store it is meant for: at the
+/// same address there may by now be one that was made anew and is empty.
 #[rpc(server, client, namespace = "keeper")]
 pub trait Api {
     /// Appends entries to several logs.
     #[method(name = "append")]
-    async fn append(&self, appends: Vec<Append>) -> RpcResult<Vec<Outcome>>;
+    async fn append(&self, store: String, appends: Vec<Append>) -> RpcResult<Vec<Outcome>>;
 
     /// Promises to refuse lower epochs.
     #[method(name = "seal")]
-    async fn seal(&self, seals: Vec<Seal>) -> RpcResult<Vec<Sealed>>;
+    async fn seal(&self, store: String, seals: Vec<Seal>) -> RpcResult<Vec<Sealed>>;
 
     /// Reads a part of a log.
     #[method(name = "read")]
-    async fn read(&self, slot: Slot, from: Index) -> RpcResult<Page>;
+    async fn read(&self, store: String, slot: Slot, from: Index) -> RpcResult<Page>;
 
     /// Drops entries that are no longer needed.
     #[method(name = "trim")]
-    async fn trim(&self, trims: Vec<Trim>) -> RpcResult<()>;
+    async fn trim(&self, store: String, trims: Vec<Trim>) -> RpcResult<()>;
 }
 
 /// Serves a keeper's methods.
 pub struct Service {
     keeper: Arc<dyn Keeper>,
+    identity: String,
 }
 
 impl Service {
-    /// Serves `keeper`.
-    pub fn new(keeper: Arc<dyn Keeper>) -> Self {
-        Self { keeper }
+    /// Serves `keeper`, whose store has the given identity.
+    pub fn new(keeper: Arc<dyn Keeper>, identity: &str) -> Self {
+        Self {
+            keeper,
+            identity: identity.to_owned(),
+        }
+    }
+
+    fn check(&self, store: &str) -> RpcResult<()> {
+        if store == self.identity {
+            return Ok(());
+        }
+        let message = "this keeper has another store; look its registration up again";
+        Err(ErrorObjectOwned::owned(OTHER_STORE, message, None::<()>))
     }
 }
 
@@ -63,19 +79,23 @@
 
 #[async_trait]
 impl ApiServer for Service {
-    async fn append(&self, appends: Vec<Append>) -> RpcResult<Vec<Outcome>> {
+    async fn append(&self, store: String, appends: Vec<Append>) -> RpcResult<Vec<Outcome>> {
+        self.check(&store)?;
         self.keeper.append(appends).await.map_err(|e| failed(&e))
     }
 
-    async fn seal(&self, seals: Vec<Seal>) -> RpcResult<Vec<Sealed>> {
+    async fn seal(&self, store: String, seals: Vec<Seal>) -> RpcResult<Vec<Sealed>> {
+        self.check(&store)?;
         self.keeper.seal(seals).await.map_err(|e| failed(&e))
     }
 
-    async fn read(&self, slot: Slot, from: Index) -> RpcResult<Page> {
+    async fn read(&self, store: String, slot: Slot, from: Index) -> RpcResult<Page> {
+        self.check(&store)?;
         self.keeper.read(slot, from).await.map_err(|e| failed(&e))
     }
 
-    async fn trim(&self, trims: Vec<Trim>) -> RpcResult<()> {
+    async fn trim(&self, store: String, trims: Vec<Trim>) -> RpcResult<()> {
+        self.check(&store)?;
         self.keeper.trim(trims).await.map_err(|e| failed(&e))
     }
 }
@@ -84,22 +104,27 @@
 #[derive(Clone, Debug)]
 pub struct Remote {
     client: HttpClient,
+    store: String,
 }
 
 impl Remote {
-    /// A client of the keeper whose peer listener is at `address`.
+    /// A client of the keeper whose peer listener is at `address` and whose
+    /// store has the given identity.
     ///
     /// # Errors
     ///
     /// The address cannot be used in a URL.
-    pub fn new(address: SocketAddr, time: Duration) -> Result<Self, Error> {
+    pub fn new(address: SocketAddr, store: &str, time: Duration) -> Result<Self, Error> {
         let client = HttpClientBuilder::default()
             .request_timeout(time)
             .max_request_size(MAX_MESSAGE)
             .max_response_size(MAX_MESSAGE)
             .build(format!("http://{address}{PATH}"))
             .map_err(|e| Error::Unreachable(e.to_string()))?;
-        Ok(Self { client })
+        Ok(Self {
+            client,
+            store: store.to_owned(),
+        })
     }
 }
 
@@ -115,20 +140,26 @@
 #[async_trait]
 impl Keeper for Remote {
     async fn append(&self, appends: Vec<Append>) -> Result<Vec<Outcome>, Error> {
-        ApiClient::append(&self.client, appends).await.map_err(lost)
+        ApiClient::append(&self.client, self.store.clone(), appends)
+            .await
+            .map_err(lost)
     }
 
     async fn seal(&self, seals: Vec<Seal>) -> Result<Vec<Sealed>, Error> {
-        ApiClient::seal(&self.client, seals).await.map_err(lost)
+        ApiClient::seal(&self.client, self.store.clone(), seals)
+            .await
+            .map_err(lost)
     }
 
     async fn read(&self, slot: Slot, from: Index) -> Result<Page, Error> {
-        ApiClient::read(&self.client, slot, from)
+        ApiClient::read(&self.client, self.store.clone(), slot, from)
             .await
             .map_err(lost)
     }
 
     async fn trim(&self, trims: Vec<Trim>) -> Result<(), Error> {
-        ApiClient::trim(&self.client, trims).await.map_err(lost)
+        ApiClient::trim(&self.client, self.store.clone(), trims)
+            .await
+            .map_err(lost)
     }
 }
--- a/crates/gradedyke-journal/src/store.rs
+++ b/crates/gradedyke-journal/src/store.rs
@@ -10,9 +10,9 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use gradedyke_base::id::{Epoch, Slot};
+use gradedyke_base::id::{self, Epoch, Slot};
 use redb::backends::InMemoryBackend;
-use redb::{Database, ReadableDatabase, ReadableTable, Table, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, Table, TableDefinition, WriteTransaction};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::entry::{Append, Entry, Index, Outcome, Page, Seal, Sealed, Tail, Trim};
@@ -23,6 +23,11 @@
 /// By slot: the promised epoch, then the epoch and index of the last entry.
 const HEAD: TableDefinition<u16, (u64, u64, u64)> = TableDefinition::new("head");
 
+/// What is told of the store itself.
+const META: TableDefinition<&str, &str> = TableDefinition::new("meta");
+/// Row of [`META`] with the store's identity.
+const IDENTITY: &str = "identity";
+
 /// Name of the database in the data folder.
 const FILE: &str = "journal.redb";
 /// Most bytes of entries in one page; a page holds one entry at least.
@@ -42,6 +47,7 @@
 pub struct Store {
     database: Arc<Database>,
     queue: mpsc::Sender<Job>,
+    identity: Arc<str>,
 }
 
 /// A write that waits for the next commit.
@@ -94,7 +100,9 @@
     /// Closes the store and waits until the database is let go of. Clones must
     /// have been dropped.
     pub async fn close(self) {
-        let Self { database, queue } = self;
+        let Self {
+            database, queue, ..
+        } = self;
         drop(queue);
         // The writer ends when its queue does, and drops its share then.
         while Arc::strong_count(&database) > 1 {
@@ -106,13 +114,24 @@
         let write = database.begin_write().map_err(failed)?;
         write.open_table(LOG).map_err(failed)?;
         write.open_table(HEAD).map_err(failed)?;
+        let identity = identity(&write)?;
         write.commit().map_err(failed)?;
         let database = Arc::new(database);
         let (queue, jobs) = mpsc::channel(QUEUE);
         let writer = database.clone();
         // Ends when the last clone of the store drops its sender.
         std::thread::spawn(move || run(&writer, jobs));
-        Ok(Self { database, queue })
+        Ok(Self {
+            database,
+            queue,
+            identity,
+        })
+    }
+
+    /// The store's identity, given to it when it was made. A store that is made
+    /// anew, as on an instance that lost its disk, has another one.
+    pub fn identity(&self) -> &str {
+        &self.identity
     }
 
     async fn submit<T>(
@@ -126,6 +145,18 @@
     }
 }
 
+/// Reads the identity of a store, or gives it one.
+fn identity(write: &WriteTransaction) -> Result<Arc<str>, Error> {
+    let mut meta = write.open_table(META).map_err(failed)?;
+    let known = meta.get(IDENTITY).map_err(failed)?;
+    if let Some(known) = known.map(|row| Arc::from(row.value())) {
+        return Ok(known);
+    }
+    let fresh = id::Request::fresh();
+    meta.insert(IDENTITY, fresh.as_str()).map_err(failed)?;
+    Ok(fresh.as_str().into())
+}
+
 /// Commits jobs in batches until the store is dropped.
 fn run(database: &Database, mut jobs: mpsc::Receiver<Job>) {
     while let Some(first) = jobs.blocking_recv() {
--- a/crates/gradedyke-journal/tests/contract.rs
+++ b/crates/gradedyke-journal/tests/contract.rs
@@ -48,8 +48,9 @@
     let behind = Arc::new(Store::memory().unwrap());
     let server = Server::builder().build("127.0.0.1:0").await.unwrap();
     let address = server.local_addr().unwrap();
-    let handle = server.start(Service::new(behind).into_rpc());
-    let remote = Remote::new(address, Duration::from_secs(5)).unwrap();
+    let identity = behind.identity().to_owned();
+    let handle = server.start(Service::new(behind, &identity).into_rpc());
+    let remote = Remote::new(address, &identity, Duration::from_secs(5)).unwrap();
     let keepers: Vec<Arc<dyn Keeper>> = vec![Arc::new(disk), Arc::new(memory), Arc::new(remote)];
     (keepers, handle, folder)
 }
@@ -153,13 +154,34 @@
     let folder = tempfile::tempdir().unwrap();
     let store = Store::open(folder.path()).unwrap();
     store.append(vec![append(5, 0, 1, &[5, 5])]).await.unwrap();
+    let identity = store.identity().to_owned();
     store.close().await;
     let store = Store::open(folder.path()).unwrap();
+    assert_eq!(store.identity(), identity);
     assert_eq!(log(&store).await, [(1, 5), (2, 5)]);
     let late = store.append(vec![append(4, 5, 3, &[4])]).await.unwrap();
     assert_eq!(late, [Outcome::Fenced(Epoch(5))]);
 }
 
+#[tokio::test]
+async fn a_store_made_anew_is_not_taken_for_the_old_one() {
+    let old = Store::memory().unwrap();
+    let anew = Arc::new(Store::memory().unwrap());
+    assert_ne!(old.identity(), anew.identity());
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let address = server.local_addr().unwrap();
+    let identity = anew.identity().to_owned();
+    let _server = server.start(Service::new(anew, &identity).into_rpc());
+    let seal = Seal {
+        slot: SLOT,
+        epoch: Epoch(1),
+    };
+    for (identity, answers) in [(old.identity(), false), (&identity, true)] {
+        let remote = Remote::new(address, identity, Duration::from_secs(5)).unwrap();
+        assert_eq!(remote.seal(vec![seal]).await.is_ok(), answers);
+    }
+}
+
 #[tokio::test]
 async fn long_logs_are_read_in_pages() {
     let store = Store::memory().unwrap();
--- a/crates/gradedyke-journal/tests/takeover.rs
+++ b/crates/gradedyke-journal/tests/takeover.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
-use gradedyke_base::id::{Epoch, Instance, Slot};
+use gradedyke_base::id::{self, Epoch, Slot};
 use gradedyke_journal::Keeper;
 use gradedyke_journal::entry::{Append, Index, Outcome, Page, Seal, Sealed, Trim};
 use gradedyke_journal::keeper::Error;
@@ -68,17 +68,17 @@
     }
 }
 
-struct Keepers(HashMap<Instance, Arc<Faulty>>);
+struct Keepers(HashMap<id::Keeper, Arc<Faulty>>);
 
 impl Directory for Keepers {
-    fn keeper(&self, instance: &Instance) -> Option<Arc<dyn Keeper>> {
-        let keeper = self.0.get(instance)?.clone();
+    fn keeper(&self, name: &id::Keeper) -> Option<Arc<dyn Keeper>> {
+        let keeper = self.0.get(name)?.clone();
         Some(keeper)
     }
 }
 
-fn name(number: usize) -> Instance {
-    Instance::parse(&format!("k{number}")).unwrap()
+fn name(number: usize) -> id::Keeper {
+    id::Keeper::parse(&format!("k{number}:s")).unwrap()
 }
 
 /// One step of a schedule.
--- a/crates/gradedyke/src/keeper.rs
+++ b/crates/gradedyke/src/keeper.rs
@@ -17,9 +17,11 @@
                 Some(folder) => Store::open(folder)?,
                 None => Store::memory()?,
             };
+            let identity = store.identity().to_owned();
             let keeper = Arc::new(store);
-            kernel.keepers.set_own(keeper.clone());
-            mounts.methods(Service::new(keeper).into_rpc())
+            kernel.members.keep(&identity);
+            kernel.keepers.set_own(&identity, keeper.clone());
+            mounts.methods(Service::new(keeper, &identity).into_rpc())
         },
     }
 }
--- a/crates/gradedyke/src/kernel/keepers.rs
+++ b/crates/gradedyke/src/kernel/keepers.rs
@@ -21,8 +21,8 @@
 /// The keepers as this process reaches them.
 pub struct Keepers {
     members: Arc<Members>,
-    own: OnceLock<Arc<dyn Keeper>>,
-    remotes: Mutex<HashMap<id::Instance, Known>>,
+    own: OnceLock<(id::Keeper, Arc<dyn Keeper>)>,
+    remotes: Mutex<HashMap<id::Keeper, Known>>,
 }
 
 impl Keepers {
@@ -35,23 +35,30 @@
         }
     }
 
-    /// Sets this process's own keeper. A second one is ignored.
-    pub fn set_own(&self, keeper: Arc<dyn Keeper>) {
-        let _ = self.own.set(keeper);
+    /// Sets this process's own keeper, whose store has the given identity. A
+    /// second one is ignored.
+    pub fn set_own(&self, identity: &str, keeper: Arc<dyn Keeper>) {
+        let name = id::Keeper::new(&self.members.own().id, identity);
+        let _ = self.own.set((name, keeper));
     }
 
-    fn remote(&self, instance: &id::Instance) -> Option<Arc<dyn Keeper>> {
+    fn remote(&self, name: &id::Keeper) -> Option<Arc<dyn Keeper>> {
+        let (instance, store) = name.parts()?;
+        let instance = id::Instance::parse(instance).ok()?;
         let mut remotes = self.remotes.lock().unwrap_or_else(PoisonError::into_inner);
-        let known = remotes.get(instance);
-        let Some(member) = self.members.get(instance) else {
+        let known = remotes.get(name);
+        let Some(member) = self.members.get(&instance) else {
             // It may be that only its registration has lapsed.
             return known.map(|(_, keeper)| keeper.clone());
         };
         match known {
             Some((address, keeper)) if *address == member.peer => Some(keeper.clone()),
             _ => {
-                let keeper: Arc<dyn Keeper> = Arc::new(Remote::new(member.peer, TIME).ok()?);
-                remotes.insert(instance.clone(), (member.peer, keeper.clone()));
+                // Where the instance has another store by now, calls that name
+                // this one are refused there.
+                let remote = Remote::new(member.peer, store, TIME).ok()?;
+                let keeper: Arc<dyn Keeper> = Arc::new(remote);
+                remotes.insert(name.clone(), (member.peer, keeper.clone()));
                 Some(keeper)
             }
         }
@@ -59,10 +66,10 @@
 }
 
 impl Directory for Keepers {
-    fn keeper(&self, instance: &id::Instance) -> Option<Arc<dyn Keeper>> {
+    fn keeper(&self, name: &id::Keeper) -> Option<Arc<dyn Keeper>> {
         match self.own.get() {
-            Some(own) if *instance == self.members.own().id => Some(own.clone()),
-            _ => self.remote(instance),
+            Some((own, keeper)) if own == name => Some(keeper.clone()),
+            _ => self.remote(name),
         }
     }
 }
--- a/crates/gradedyke/src/kernel/process.rs
+++ b/crates/gradedyke/src/kernel/process.rs
@@ -106,6 +106,7 @@
         admin: addresses.admin,
         caller: addresses.caller,
         disk: settings.data_folder.is_some(),
+        store: None,
         draining: false,
     }
 }
--- a/crates/gradedyke/src/membership.rs
+++ b/crates/gradedyke/src/membership.rs
@@ -41,11 +41,19 @@
     pub caller: Option<SocketAddr>,
     /// Whether what it keeps is on a disk.
     pub disk: bool,
+    /// The identity of the store it keeps the journal in, if it does.
+    pub store: Option<String>,
     /// Whether it is stopping as planned.
     pub draining: bool,
 }
 
 impl Member {
+    /// The keeper on this instance, if it runs one.
+    pub fn keeper(&self) -> Option<id::Keeper> {
+        let store = self.store.as_deref()?;
+        Some(id::Keeper::new(&self.id, store))
+    }
+
     /// Whether the process runs `role`.
     pub fn runs(&self, role: Role) -> bool {
         self.roles.contains(&role)
@@ -91,6 +99,12 @@
         self.view.borrow().get(instance).cloned()
     }
 
+    /// Tells everybody in which store this process keeps the journal.
+    pub fn keep(&self, store: &str) {
+        self.own
+            .send_modify(|own| own.store = Some(store.to_owned()));
+    }
+
     /// Tells everybody that this process is stopping as planned.
     pub fn drain(&self) {
         self.own.send_modify(|own| own.draining = true);
--- a/crates/gradedyke/src/ownership/assign.rs
+++ b/crates/gradedyke/src/ownership/assign.rs
@@ -59,8 +59,8 @@
     shard: u16,
     members: &BTreeMap<id::Instance, Member>,
     copies: usize,
-) -> Vec<id::Instance> {
-    let fit = |m: &&Member| m.runs(Role::Keeper) && !m.draining;
+) -> Vec<id::Keeper> {
+    let fit = |m: &&Member| m.store.is_some() && !m.draining;
     let key = shard.to_le_bytes();
     let mut left: Vec<&Member> = members.values().filter(fit).collect();
     left.sort_by_key(|m| std::cmp::Reverse(id::weight(&key, m.id.as_str())));
@@ -71,7 +71,7 @@
         let best = (0..left.len()).min_by_key(rank).unwrap_or(0);
         chosen.push(left.remove(best));
     }
-    chosen.iter().map(|m| m.id.clone()).collect()
+    chosen.iter().filter_map(|m| m.keeper()).collect()
 }
 
 /// The slots of a shard that need an owner, and who they fall to.
--- a/crates/gradedyke/src/ownership/map.rs
+++ b/crates/gradedyke/src/ownership/map.rs
@@ -27,7 +27,7 @@
     /// The highest epoch given out in this shard.
     pub epoch: Epoch,
     /// The keepers of all its slots.
-    pub keepers: Vec<id::Instance>,
+    pub keepers: Vec<id::Keeper>,
     /// The owners that `slots` refers to by place.
     pub owners: Vec<id::Instance>,
     /// For each slot the place of its owner and its epoch.
