Never call a call not run that an earlier owner may have sent

Cause: found by reading the takeover as a newcomer would. A repeatable call to a plain service that was found open and then could not be sent again was withdrawn as not run; a call of a program that had ended meanwhile likewise; and a call of an agent program gone from the settings stayed open for ever, with its caller waiting.

Change: the new owner counts a call it finds open as sent. What a new call needs is looked up before the call is taken in, so that nothing can fail in between. Also: one loop for the three watches, one place that asks the routing policy, and settings that name an unknown policy are refused with their place.

Before: a_call_that_an_earlier_owner_sent_is_never_called_not_run fails. After: it passes.

--- a/crates/gradedyke-base/src/settings/check.rs
+++ b/crates/gradedyke-base/src/settings/check.rs
@@ -30,9 +30,24 @@
 /// assert_eq!(faults[0].line, 2);
 /// ```
 pub fn read(file: &str, text: &str) -> Result<Tree, Vec<Error>> {
+    read_with(file, text, |_| Vec::new())
+}
+
+/// Reads and checks a tree as [`read`] does, and adds the faults that `more`
+/// finds, such as names that only a higher layer knows.
+///
+/// # Errors
+///
+/// All faults found.
+pub fn read_with(
+    file: &str,
+    text: &str,
+    more: impl Fn(&Tree) -> Vec<Fault>,
+) -> Result<Tree, Vec<Error>> {
     let source = Source::new(file, text);
     let tree: Tree = source.read().map_err(|e| vec![e])?;
-    let faults = faults(&tree);
+    let mut faults = faults(&tree);
+    faults.extend(more(&tree));
     if faults.is_empty() {
         return Ok(tree);
     }
--- a/crates/gradedyke-base/src/settings/tree.rs
+++ b/crates/gradedyke-base/src/settings/tree.rs
@@ -200,6 +200,22 @@
     pub routing: String,
 }
 
+impl Default for Effective {
+    fn default() -> Self {
+        Self {
+            models: Vec::new(),
+            services: Vec::new(),
+            budget_tokens: BUDGET_TOKENS,
+            max_tokens: MAX_TOKENS,
+            max_turns: MAX_TURNS,
+            idle_ms: IDLE_MS,
+            call_ms: CALL_MS,
+            class: Class::default(),
+            routing: ROUTING.to_owned(),
+        }
+    }
+}
+
 impl Tree {
     /// The agent program `agent` of `account`, with inherited values filled in.
     ///
--- a/crates/gradedyke-cli/src/admin.rs
+++ b/crates/gradedyke-cli/src/admin.rs
@@ -5,6 +5,7 @@
 
 use gradedyke::admin::Status;
 use gradedyke::current::Snapshot;
+use gradedyke::routing;
 use gradedyke_base::settings::check;
 use gradedyke_http::{Client, body, client};
 use http::{HeaderValue, Method, header};
@@ -84,7 +85,7 @@
     let revision: Option<u64> = args.opt_value_from_str("--if-revision")?;
     let (file, text) = settings::read(args)?;
     no_more(args)?;
-    if let Err(errors) = check::read(&file, &text) {
+    if let Err(errors) = check::read_with(&file, &text, routing::faults) {
         let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
         return Err(Failure::Usage(lines.join("\n")));
     }
--- a/crates/gradedyke-cli/src/settings.rs
+++ b/crates/gradedyke-cli/src/settings.rs
@@ -1,5 +1,6 @@
 //! `gradedyke settings` and `gradedyke key`.
 
+use gradedyke::routing;
 use gradedyke_base::settings::check;
 use gradedyke_base::settings::instance::Instance;
 use gradedyke_base::settings::tree::hash_key;
@@ -27,7 +28,9 @@
     let errors = if instance {
         Instance::read(&file, &text).err().into_iter().collect()
     } else {
-        check::read(&file, &text).err().unwrap_or_default()
+        check::read_with(&file, &text, routing::faults)
+            .err()
+            .unwrap_or_default()
     };
     if errors.is_empty() {
         println!("{file}: ok");
--- a/crates/gradedyke-cli/tests/words.rs
+++ b/crates/gradedyke-cli/tests/words.rs
@@ -54,11 +54,16 @@
 fn settings_are_checked_with_file_line_and_path() {
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("tree.jsonc");
-    std::fs::write(&file, "{\n  // two faults\n  \"defaults\": {\n    \"max_turns\": 0,\n    \"idle_ms\": 0\n  }\n}\n").unwrap();
+    std::fs::write(&file, "{\n  // three faults\n  \"defaults\": {\n    \"max_turns\": 0,\n    \"idle_ms\": 0,\n    \"routing\": \"x\"\n  }\n}\n").unwrap();
     let name = file.to_str().unwrap();
     let (code, _, error) = gradedyke(&["settings", "check", name]);
     assert_eq!(code, 2);
-    for place in [":4: at defaults.max_turns: ", ":5: at defaults.idle_ms: "] {
+    let places = [
+        ":4: at defaults.max_turns: ",
+        ":5: at defaults.idle_ms: ",
+        ":6: at defaults.routing: ",
+    ];
+    for place in places {
         assert!(error.contains(place), "{error}");
     }
     std::fs::write(&file, "{}").unwrap();
--- a/crates/gradedyke/src/admin/mod.rs
+++ b/crates/gradedyke/src/admin/mod.rs
@@ -27,6 +27,7 @@
 use crate::entry::keys::bearer;
 use crate::kernel::{self, Kernel, Mounts, Plugin};
 use crate::membership::Member;
+use crate::routing;
 
 /// Largest settings that are taken, in bytes.
 const SETTINGS_BYTES: usize = 4 << 20;
@@ -177,7 +178,7 @@
             return Err(Problem::new(Kind::BadRequest, message));
         };
         let text = String::from_utf8_lossy(&bytes);
-        let tree = check::read("settings", &text).map_err(|errors| {
+        let tree = check::read_with("settings", &text, routing::faults).map_err(|errors| {
             let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
             Problem::new(Kind::BadRequest, lines.join("\n"))
         })?;
--- a/crates/gradedyke/src/current.rs
+++ b/crates/gradedyke/src/current.rs
@@ -5,7 +5,6 @@
 //! old read can never bring an old tree back.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use gradedyke_base::settings::tree::Tree;
@@ -14,10 +13,10 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::watching;
+
 /// The key that holds the tree.
 pub const KEY: &str = "gradedyke/settings";
-/// Wait before a broken watch is opened again.
-const PAUSE: Duration = Duration::from_millis(500);
 
 /// A tree with its revision.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -98,18 +97,7 @@
 
     /// Follows the key until `stop`.
     pub async fn follow(self: Arc<Self>, kv: Arc<dyn KeyValue>, stop: CancellationToken) {
-        let following = async {
-            loop {
-                if let Err(error) = self.once(&*kv).await {
-                    tracing::warn!(event = "settings_watch_broken", %error);
-                }
-                tokio::time::sleep(PAUSE).await;
-            }
-        };
-        tokio::select! {
-            () = following => {}
-            () = stop.cancelled() => {}
-        }
+        watching::keep("settings", stop, || self.once(&*kv)).await;
     }
 
     async fn once(&self, kv: &dyn KeyValue) -> Result<(), Error> {
--- a/crates/gradedyke/src/lib.rs
+++ b/crates/gradedyke/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod program;
 pub mod retry;
 pub mod routing;
+mod watching;
 pub mod wire;
 
 pub use kernel::Process;
--- a/crates/gradedyke/src/membership.rs
+++ b/crates/gradedyke/src/membership.rs
@@ -17,9 +17,11 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::watching;
+
 /// Where members register.
 pub const PREFIX: &str = "gradedyke/members/";
-/// Wait before a broken watch is opened again.
+/// Wait before a broken registration is made again.
 const PAUSE: Duration = Duration::from_millis(200);
 /// A lease is renewed this many times within its length.
 const RENEWALS: u32 = 3;
@@ -196,18 +198,7 @@
 
     /// Follows the others until `stop`.
     pub async fn follow(self: Arc<Self>, kv: Arc<dyn KeyValue>, stop: CancellationToken) {
-        let following = async {
-            loop {
-                if let Err(error) = self.once(&*kv).await {
-                    tracing::warn!(event = "members_watch_broken", %error);
-                }
-                tokio::time::sleep(PAUSE).await;
-            }
-        };
-        tokio::select! {
-            () = following => {}
-            () = stop.cancelled() => {}
-        }
+        watching::keep("members", stop, || self.once(&*kv)).await;
     }
 
     async fn once(&self, kv: &dyn KeyValue) -> Result<(), Error> {
--- a/crates/gradedyke/src/owner/accept.rs
+++ b/crates/gradedyke/src/owner/accept.rs
@@ -80,9 +80,12 @@
             return session.known(key, &call.request).ok_or_else(not_issued);
         };
         let fingerprint = fingerprint(work)?;
-        if session.known(key, &call.request).is_none() {
-            self.check(&holding, &session, key, work)?;
-        }
+        // Nothing may fail between a call's arrival and its run, so what a new
+        // call needs is looked up before it. A known one needs nothing.
+        let effective = match session.known(key, &call.request) {
+            Some(_) => Effective::default(),
+            None => self.check(&holding, &session, key, work)?,
+        };
         let new = || {
             let model = work.model().to_owned();
             Answer::new(fingerprint.clone(), model, holding.stop.child_token())
@@ -97,7 +100,6 @@
                     session.finish(key, &call.request, ticket, End::Moved, false);
                     return Err(moving());
                 }
-                let effective = self.effective(&session, key)?;
                 let context = Context {
                     owner: self.clone(),
                     holding,
@@ -127,23 +129,21 @@
         })
     }
 
-    /// Whether a new call may be issued.
+    /// Checks that a new call may be issued, and returns the settings it runs
+    /// under.
     fn check(
         &self,
         holding: &Holding,
         session: &Session,
         key: Key,
         work: &Work,
-    ) -> Result<(), Problem> {
+    ) -> Result<Effective, Problem> {
         if holding.closing() {
             return Err(moving());
         }
         let ended = session.read(key, |p| p.ended.is_some()).unwrap_or(true);
         if ended {
-            let message = "the program has ended; open a new one";
-            let mut problem = Problem::new(Kind::Ended, message);
-            problem.not_run = true;
-            return Err(problem);
+            return Err(run::cancelled());
         }
         let effective = self.effective(session, key)?;
         let turns = session.read(key, |p| p.answers.len()).unwrap_or(0);
@@ -156,10 +156,11 @@
         match work {
             Work::Chat { request, .. } => {
                 request.check()?;
-                allowed("model", &request.model, &effective.models)
+                allowed("model", &request.model, &effective.models)?;
             }
-            Work::Service { service, .. } => allowed("service", service, &effective.services),
+            Work::Service { service, .. } => allowed("service", service, &effective.services)?,
         }
+        Ok(effective)
     }
 }
 
--- a/crates/gradedyke/src/owner/chat.rs
+++ b/crates/gradedyke/src/owner/chat.rs
@@ -180,12 +180,7 @@
         answer_tokens: ready.max_tokens,
         now,
     };
-    let policy = owner
-        .policies
-        .get(context.effective.routing.as_str())
-        .or_else(|| owner.policies.get("prefix"))?;
-    let place = policy.choose(&question, &candidates)?;
-    let key = candidates.get(place)?.key;
+    let key = context.route(&question, &candidates)?;
     owner
         .fleet
         .book(key, chain, &ready.tokens, ready.max_tokens)
--- a/crates/gradedyke/src/owner/mod.rs
+++ b/crates/gradedyke/src/owner/mod.rs
@@ -4,7 +4,7 @@
 //! Each slot that the map gives to this process becomes a [`holding::Holding`],
 //! recovered from the journal; each tree of programs in it is a
 //! [`session::Session`]. A call runs in a task of its own, written straight
-//! down in [`run`], and outlives the connection that brought it, so a caller
+//! down in `run`, and outlives the connection that brought it, so a caller
 //! may come back for the rest from any entry.
 
 pub mod accept;
--- a/crates/gradedyke/src/owner/run.rs
+++ b/crates/gradedyke/src/owner/run.rs
@@ -5,7 +5,7 @@
 
 use gradedyke_base::id;
 use gradedyke_base::problem::{Kind, Problem};
-use gradedyke_base::settings::tree::Effective;
+use gradedyke_base::settings::tree::{Effective, ROUTING};
 use tokio::time::Instant;
 
 use super::answer::{Answer, End};
@@ -13,7 +13,9 @@
 use super::session::{Session, Ticket};
 use super::{Owner, accept, chat, moving, tool};
 use crate::program::record::{Intent, Record};
-use crate::program::state::Key;
+use crate::program::state;
+use crate::routing::fleet::Key;
+use crate::routing::{Candidate, Question};
 use crate::wire::{Outcome, Work};
 
 /// All that a call needs on its way.
@@ -21,7 +23,7 @@
     pub owner: Arc<Owner>,
     pub holding: Arc<Holding>,
     pub session: Arc<Session>,
-    pub key: Key,
+    pub key: state::Key,
     pub program: id::Program,
     pub request: id::Request,
     pub ticket: Ticket,
@@ -86,7 +88,17 @@
 }
 
 async fn take_up(context: &Context, intent: &Intent) -> Result<Finished, Stop> {
-    context.turn().await?;
+    match context.turn().await {
+        // It may have run, so it must not be called not run.
+        Err(Stop::NotRun(problem)) => {
+            context.session.settle(intent.reserved, intent.reserved);
+            return Ok(Finished {
+                outcome: Outcome::Failed(problem.may_have_run()),
+                spent: intent.reserved,
+            });
+        }
+        other => other?,
+    }
     match &intent.work {
         Work::Chat { request, .. } => chat::take_up(context, request, intent).await,
         Work::Service {
@@ -122,6 +134,15 @@
         Ok(())
     }
 
+    /// The backend server that the program's routing policy chooses.
+    pub(super) fn route(&self, question: &Question, candidates: &[Candidate]) -> Option<Key> {
+        let policies = &self.owner.policies;
+        let named = policies.get(self.effective.routing.as_str());
+        let policy = named.or_else(|| policies.get(ROUTING))?;
+        let place = policy.choose(question, candidates)?;
+        candidates.get(place).map(|candidate| candidate.key)
+    }
+
     /// Keeps the intent to send this call.
     pub(super) async fn intend(&self, intent: Intent) -> Result<(), Stop> {
         let record = Record::Intended {
--- a/crates/gradedyke/src/owner/takeover.rs
+++ b/crates/gradedyke/src/owner/takeover.rs
@@ -185,13 +185,13 @@
         };
         let arrival = session.arrive(key, &request, None, &intent.fingerprint, new);
         let program = session.read(key, |p| p.id.clone());
-        let effective = self.effective(session, key);
-        let (Ok(Arrival::New(answer, ticket)), Some(program), Ok(effective)) =
-            (arrival, program, effective)
-        else {
+        let (Ok(Arrival::New(answer, ticket)), Some(program)) = (arrival, program) else {
+            // Two open calls of one program cannot be.
             tracing::error!(event = "open_call_stranded", slot = %holding.slot, %request);
             return;
         };
+        // The call was allowed when it was sent, whatever the settings say now.
+        let effective = self.effective(session, key).unwrap_or_default();
         let context = Context {
             owner: self.clone(),
             holding: holding.clone(),
--- a/crates/gradedyke/src/owner/tool.rs
+++ b/crates/gradedyke/src/owner/tool.rs
@@ -52,7 +52,7 @@
         context.owner.fleet.unbook(choice.key, 0);
     }
     intended?;
-    attempts(context, name, call, repeatable, first).await
+    attempts(context, name, call, repeatable, first, false).await
 }
 
 /// Goes on with a call that an earlier owner had sent, or was about to.
@@ -65,7 +65,7 @@
 ) -> Result<Finished, Stop> {
     if repeatable {
         let first = choose(context, name, &[]);
-        return attempts(context, name, call, repeatable, first).await;
+        return attempts(context, name, call, repeatable, first, true).await;
     }
     let backend = intent.backend.as_ref();
     let choice = backend.and_then(|id| context.owner.fleet.find(id));
@@ -81,26 +81,23 @@
         answer_tokens: 0,
         now,
     };
-    let policy = owner
-        .policies
-        .get(context.effective.routing.as_str())
-        .or_else(|| owner.policies.get("prefix"))?;
-    let place = policy.choose(&question, &candidates)?;
-    let key = candidates.get(place)?.key;
+    let key = context.route(&question, &candidates)?;
     owner.fleet.book(key, &[], &[], 0)
 }
 
+/// Makes attempts until one is answered or none is left. `sent` tells whether
+/// the call may have run already.
 async fn attempts(
     context: &Context,
     name: &str,
     call: &service::Call,
     repeatable: bool,
     first: Option<Choice>,
+    mut sent: bool,
 ) -> Result<Finished, Stop> {
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LAST, RETRIES);
     let mut choice = first;
     let mut avoid = Vec::new();
-    let mut sent = false;
     loop {
         let failed = match &choice {
             Some(chosen) => {
--- a/crates/gradedyke/src/ownership/map.rs
+++ b/crates/gradedyke/src/ownership/map.rs
@@ -1,7 +1,6 @@
 //! The map of slots, and the view each process has of it.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use gradedyke_base::id::{self, Epoch, SLOTS, Slot};
 use gradedyke_platform::kv::{self, Event, KeyValue, Revision, Swap, Swapped};
@@ -9,6 +8,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::watching;
+
 /// Where the map's values stand.
 pub const PREFIX: &str = "gradedyke/slots/";
 /// Number of values that hold the map.
@@ -18,8 +19,6 @@
 pub const SHARDS: u16 = 64;
 /// Slots in one value.
 pub const PER_SHARD: u16 = SLOTS / SHARDS;
-/// Wait before a broken watch is opened again.
-const PAUSE: Duration = Duration::from_millis(200);
 
 /// A part of the map, as the key-value service holds it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -210,18 +209,7 @@
 
     /// Follows the map until `stop`.
     pub async fn follow(self: Arc<Self>, kv: Arc<dyn KeyValue>, stop: CancellationToken) {
-        let following = async {
-            loop {
-                if let Err(error) = self.once(&*kv).await {
-                    tracing::warn!(event = "slots_watch_broken", %error);
-                }
-                tokio::time::sleep(PAUSE).await;
-            }
-        };
-        tokio::select! {
-            () = following => {}
-            () = stop.cancelled() => {}
-        }
+        watching::keep("slots", stop, || self.once(&*kv)).await;
     }
 
     async fn once(&self, kv: &dyn KeyValue) -> Result<(), kv::Error> {
--- a/crates/gradedyke/src/routing/mod.rs
+++ b/crates/gradedyke/src/routing/mod.rs
@@ -16,6 +16,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use gradedyke_base::settings::check::Fault;
+use gradedyke_base::settings::tree::Tree;
 use tokio::time::Instant;
 
 /// What a policy knows of the call.
@@ -61,6 +63,40 @@
 
 inventory::collect!(Plugin);
 
+/// The places of a tree that name a policy which is not registered.
+///
+/// ```
+/// use gradedyke_base::settings::tree::Tree;
+///
+/// let mut tree = Tree::default();
+/// tree.defaults.routing = Some("fastest".to_owned());
+/// assert_eq!(gradedyke::routing::faults(&tree)[0].path, "defaults.routing");
+/// ```
+pub fn faults(tree: &Tree) -> Vec<Fault> {
+    let mut named = vec![("defaults".to_owned(), &tree.defaults)];
+    for (name, account) in &tree.accounts {
+        named.push((format!("accounts.{name}.policy"), &account.policy));
+        for (agent, settings) in &account.agents {
+            let path = format!("accounts.{name}.agents.{agent}.policy");
+            named.push((path, &settings.policy));
+        }
+    }
+    let policies = policies();
+    let names: Vec<&str> = policies.keys().copied().collect();
+    let unknown = named.into_iter().filter_map(|(path, policy)| {
+        let routing = policy.routing.as_deref()?;
+        let known = policies.contains_key(routing);
+        (!known).then(|| Fault {
+            path: format!("{path}.routing"),
+            message: format!(
+                "no routing policy {routing}; use one of {}",
+                names.join(", ")
+            ),
+        })
+    });
+    unknown.collect()
+}
+
 /// One of each registered policy, by name.
 ///
 /// ```
--- a/crates/gradedyke/tests/failures.rs
+++ b/crates/gradedyke/tests/failures.rs
@@ -204,6 +204,36 @@
     });
 }
 
+#[test]
+fn a_call_that_an_earlier_owner_sent_is_never_called_not_run() {
+    run(async {
+        let mut world = World::start(Config::default()).await.unwrap();
+        let caller = world.jordan();
+        let opening = caller.open(world.entry(0), "valuation", None, None, "open");
+        let program = opening.await.unwrap();
+        let through = entry(&world, other(&world, &program));
+        let dies = owner(&world, &program);
+        world.orders.set(Mode::Hang);
+        let calling = tokio::spawn(async move {
+            let options = Options {
+                repeatable: Some(true),
+                ..Options::request("order")
+            };
+            let calling = caller.service(through, &program, "orders/place", "{}", options);
+            calling.await
+        });
+        world.orders.until(|s| !s.runs().is_empty()).await;
+        // From now on nobody can be connected to.
+        world.tree["backends"]["orders"]["address"] = json!("127.0.0.1:1");
+        world.apply().await.unwrap();
+        kill(&mut world, dies).await;
+        let refused = calling.await.unwrap().unwrap_err();
+        let problem = gradedyke_client::problem(&refused).unwrap();
+        assert!(!problem.not_run, "it ran: {problem}");
+        world.stop().await;
+    });
+}
+
 #[test]
 fn a_planned_stop_cuts_no_stream_and_loses_no_history() {
     run(async {
