--- a/crates/gradedyke/src/owner/chat.rs
+++ b/crates/gradedyke/src/owner/chat.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use gradedyke_backend::Error;
-use gradedyke_backend::chat::{self, Chunk, Completion, Message, Usage};
-use gradedyke_backend::engine::{Call, Chunks, Pin};
+use gradedyke_backend::chat::{self, Completion, Message, Usage};
+use gradedyke_backend::engine::{Call, Pin};
 use gradedyke_backend::prefix::Chain;
 use gradedyke_base::problem::{Kind, Problem};
 use gradedyke_base::settings::tree::Class;
 use tokio::time::Instant;
 
+use super::attempt::{self, Attempt};
 use super::run::{Context, Finished, Stop, cancelled};
 use super::session::Conversation;
 use crate::program::record::Intent;
@@ -28,8 +29,6 @@
 const RETRY_LAST: Duration = Duration::from_secs(2);
 /// Attempts after the first.
 const RETRIES: u32 = 8;
-/// Times that a cut stream is resumed at the same engine.
-const RESUMES: u32 = 2;
 /// When to come back where no engine can be reached.
 const COME_BACK: Duration = Duration::from_secs(2);
 /// Bytes that make a token, for estimates that only guide routing.
@@ -45,20 +44,6 @@
     max_tokens: u64,
 }
 
-/// How an attempt ended.
-enum Attempt {
-    /// The answer is whole.
-    Whole(Completion, Option<Usage>),
-    /// It certainly did not run.
-    NotRun(Error),
-    /// The call itself is at fault.
-    Invalid(Error),
-    /// It may have run, and its answer is lost.
-    Lost(Error),
-    /// It gives another answer than the one that readers have begun to read.
-    Differs,
-}
-
 /// Runs a new model call.
 pub(super) async fn call(
     context: &Context,
@@ -112,11 +97,11 @@
     let engine = intent.backend.as_ref();
     let sent_to = engine.and_then(|id| context.owner.fleet.find(id));
     if let Some(choice) = sent_to {
-        let resumed = resume(context, &choice, &intent.attempt, 1).await;
+        let resumed = attempt::resume(context, &choice, &intent.attempt, 1).await;
         if let Attempt::Whole(completion, usage) = resumed {
             return Ok(whole_answer(context, &ready, completion, usage, 0));
         }
-        release_attempt(context, &choice, &intent.attempt);
+        attempt::cancel(context, &choice, &intent.attempt);
     }
     if let Some(end) = lose(context, &ready, ready.reserved) {
         return Ok(end);
@@ -142,7 +127,7 @@
     };
     Ready {
         call: Call {
-            attempt: attempt(context, 0),
+            attempt: attempt_name(context, 0),
             request: sent,
             chain,
             priority,
@@ -154,7 +139,7 @@
 }
 
 /// The name of an attempt: no two have the same, also across owners.
-fn attempt(context: &Context, number: u32) -> String {
+fn attempt_name(context: &Context, number: u32) -> String {
     let Context {
         program, request, ..
     } = context;
@@ -202,35 +187,10 @@
     loop {
         let failed = match choice {
             Some(chosen) => {
-                let attempt = one(context, &ready, &chosen).await;
-                context.owner.fleet.unbook(chosen.key, ready.max_tokens);
                 avoid.push(chosen.key);
-                match attempt {
-                    Attempt::Whole(completion, usage) => {
-                        keep_prefix(context, &ready, &chosen).await;
-                        return Ok(whole_answer(context, &ready, completion, usage, lost));
-                    }
-                    Attempt::Invalid(error) => {
-                        let problem = Problem::new(Kind::BadRequest, error.to_string());
-                        return give_back(context, &ready, problem, lost).await;
-                    }
-                    Attempt::NotRun(error) => error,
-                    Attempt::Lost(error) => {
-                        release_attempt(context, &chosen, &ready.call.attempt);
-                        lost += ready.reserved;
-                        if let Some(end) = lose(context, &ready, lost) {
-                            return Ok(end);
-                        }
-                        error
-                    }
-                    Attempt::Differs => {
-                        release_attempt(context, &chosen, &ready.call.attempt);
-                        lost += ready.reserved;
-                        context.session.settle(ready.reserved, ready.reserved);
-                        let message = "the engine failed in the middle of the answer and another \
-                                       one answers differently; issue the call anew";
-                        return Ok(failure(Problem::new(Kind::BackendFailed, message), lost));
-                    }
+                match step(context, &ready, &chosen, &mut lost).await? {
+                    Step::End(finished) => return Ok(finished),
+                    Step::Again(error) => error,
                 }
             }
             None => Error::NotSent("no backend server takes this model's calls now".to_owned()),
@@ -250,7 +210,7 @@
             }
         }
         number += 1;
-        ready.call.attempt = attempt(context, number);
+        ready.call.attempt = attempt_name(context, number);
         let now = Instant::now();
         choice = choose(context, &ready, &avoid, now).or_else(|| {
             // All have failed once; any of them may be well again.
@@ -260,6 +220,54 @@
     }
 }
 
+/// What follows from an attempt.
+enum Step {
+    /// The call has ended.
+    End(Finished),
+    /// It is to be tried again.
+    Again(Error),
+}
+
+/// Makes one attempt and draws the conclusion.
+async fn step(
+    context: &Context,
+    ready: &Ready,
+    chosen: &Choice,
+    lost: &mut u64,
+) -> Result<Step, Stop> {
+    let made = attempt::make(context, &ready.call, chosen).await;
+    context.owner.fleet.unbook(chosen.key, ready.max_tokens);
+    match made {
+        Attempt::Whole(completion, usage) => {
+            keep_prefix(context, ready, chosen).await;
+            let finished = whole_answer(context, ready, completion, usage, *lost);
+            Ok(Step::End(finished))
+        }
+        Attempt::Invalid(error) => {
+            let problem = Problem::new(Kind::BadRequest, error.to_string());
+            give_back(context, ready, problem, *lost)
+                .await
+                .map(Step::End)
+        }
+        Attempt::NotRun(error) => Ok(Step::Again(error)),
+        Attempt::Lost(error) => {
+            attempt::cancel(context, chosen, &ready.call.attempt);
+            *lost += ready.reserved;
+            let end = lose(context, ready, *lost);
+            Ok(end.map_or(Step::Again(error), Step::End))
+        }
+        Attempt::Differs => {
+            attempt::cancel(context, chosen, &ready.call.attempt);
+            *lost += ready.reserved;
+            context.session.settle(ready.reserved, ready.reserved);
+            let message = "the engine failed in the middle of the answer and another one answers \
+                           differently; issue the call anew";
+            let problem = Problem::new(Kind::BackendFailed, message);
+            Ok(Step::End(failure(problem, *lost)))
+        }
+    }
+}
+
 /// Takes a lost attempt as spent whole and reserves the next one. Returns the
 /// end of the call when there can be no next one.
 fn lose(context: &Context, ready: &Ready, lost: u64) -> Option<Finished> {
@@ -278,114 +286,6 @@
     }
 }
 
-/// Makes one attempt, cancelled by the caller, by the end of the program or by
-/// the deadline.
-async fn one(context: &Context, ready: &Ready, choice: &Choice) -> Attempt {
-    let Link::Engine(engine) = &choice.link else {
-        return Attempt::NotRun(Error::NotSent("not an engine".to_owned()));
-    };
-    let fleet = &context.owner.fleet;
-    let exchange = async {
-        let chunks = match engine.chat(&ready.call).await {
-            Ok(chunks) => chunks,
-            Err(error) => return classify(error),
-        };
-        context.answer.restart();
-        match read(context, chunks, 0).await {
-            Ok(attempt) => attempt,
-            Err(_) => resume(context, choice, &ready.call.attempt, RESUMES).await,
-        }
-    };
-    let attempt = tokio::select! {
-        attempt = exchange => attempt,
-        () = context.answer.cancel.cancelled() => {
-            Attempt::Lost(Error::Broken("cancelled".to_owned()))
-        }
-        () = tokio::time::sleep_until(context.deadline()) => {
-            Attempt::Lost(Error::Broken("the deadline passed".to_owned()))
-        }
-    };
-    match &attempt {
-        Attempt::Whole(..) => fleet.succeeded(choice.key),
-        Attempt::NotRun(_) | Attempt::Lost(_) => fleet.failed(choice.key, Instant::now()),
-        Attempt::Invalid(_) | Attempt::Differs => {}
-    }
-    attempt
-}
-
-fn classify(error: Error) -> Attempt {
-    match error {
-        Error::Invalid { .. } => Attempt::Invalid(error),
-        Error::Broken(_) => Attempt::Lost(error),
-        _ => Attempt::NotRun(error),
-    }
-}
-
-/// Resumes a cut stream at the engine that has it.
-async fn resume(context: &Context, choice: &Choice, attempt: &str, tries: u32) -> Attempt {
-    let Link::Engine(engine) = &choice.link else {
-        return Attempt::NotRun(Error::NotSent("not an engine".to_owned()));
-    };
-    let mut error = Error::Broken("the stream was cut".to_owned());
-    for _ in 0..tries {
-        let offset = context.answer.len();
-        let resumed = match engine.resume(attempt, offset as u64).await {
-            Ok(chunks) => read(context, chunks, offset).await,
-            Err(e) => Err(e),
-        };
-        match resumed {
-            Ok(attempt) => return attempt,
-            Err(e) => error = e,
-        }
-    }
-    Attempt::Lost(error)
-}
-
-/// Reads a stream, whose text begins at `position`, to its end into the answer.
-async fn read(
-    context: &Context,
-    mut chunks: Box<dyn Chunks>,
-    mut position: usize,
-) -> Result<Attempt, Error> {
-    let mut completion = Completion::default();
-    let mut usage = None;
-    while let Some(chunk) = chunks.next().await? {
-        let Chunk {
-            choices,
-            usage: counted,
-        } = chunk;
-        usage = counted.or(usage);
-        for choice in choices {
-            let text = choice.delta.content.unwrap_or_default();
-            if !text.is_empty() && context.answer.is_empty() {
-                first_token(context);
-            }
-            if !context.answer.write(position, &text) {
-                return Ok(Attempt::Differs);
-            }
-            position += text.len();
-            for part in choice.delta.tool_calls.unwrap_or_default() {
-                completion.merge_tool_call(part);
-            }
-            if let Some(reason) = choice.finish_reason {
-                completion.finish_reason = reason;
-            }
-        }
-    }
-    completion.content = context.answer.text();
-    if position < completion.content.len() {
-        return Ok(Attempt::Differs);
-    }
-    Ok(Attempt::Whole(completion, usage))
-}
-
-fn first_token(context: &Context) {
-    let account = context.session.account.to_string();
-    let class = context.effective.class.name();
-    metrics::histogram!("gradedyke_first_token_seconds", "account" => account, "class" => class)
-        .record(context.came.elapsed().as_secs_f64());
-}
-
 /// The end of a call whose answer is whole.
 fn whole_answer(
     context: &Context,
@@ -448,27 +348,6 @@
     give_back(context, ready, problem, lost).await
 }
 
-/// Cancels a lost attempt in the background, so that it stops spending.
-fn release_attempt(context: &Context, choice: &Choice, attempt: &str) {
-    let Link::Engine(engine) = choice.link.clone() else {
-        return;
-    };
-    let attempt = attempt.to_owned();
-    let stop = context.owner.stop.clone();
-    tokio::spawn(async move {
-        let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LAST, RETRIES);
-        while engine.cancel(&attempt).await.is_err() {
-            let Some(wait) = backoff.wait(rand::random()) else {
-                return;
-            };
-            tokio::select! {
-                () = tokio::time::sleep(wait) => {}
-                () = stop.cancelled() => return,
-            }
-        }
-    });
-}
-
 /// Keeps the prompt's prefix in the engine's memory while the program lives.
 async fn keep_prefix(context: &Context, ready: &Ready, choice: &Choice) {
     let Link::Engine(engine) = &choice.link else {
--- a/crates/gradedyke/src/owner/mod.rs
+++ b/crates/gradedyke/src/owner/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod accept;
 pub mod answer;
+mod attempt;
 mod chat;
 pub mod holding;
 mod poll;
