End a booking with its call, however the call ends

Cause: found by reading. A call that was dropped with its slot left its booking behind, so the owner went on believing that the engine had work of its own.

Change: the booking ends when the last clone of the choice is dropped.

Before: a_booking_ends_with_its_call_however_that_ends fails ((1, 64) where (0, 0) is right). After: it passes. The fleet's other rules are tested beside it.

--- a/crates/gradedyke/src/owner/chat.rs
+++ b/crates/gradedyke/src/owner/chat.rs
@@ -69,7 +69,6 @@
         reserved: ready.reserved,
     };
     if let Err(stop) = context.intend(intent).await {
-        first.inspect(|choice| context.owner.fleet.unbook(choice.key, ready.max_tokens));
         context.session.settle(ready.reserved, 0);
         return Err(stop);
     }
@@ -236,7 +235,6 @@
     lost: &mut u64,
 ) -> Result<Step, Stop> {
     let made = attempt::make(context, &ready.call, chosen).await;
-    context.owner.fleet.unbook(chosen.key, ready.max_tokens);
     match made {
         Attempt::Whole(completion, usage) => {
             keep_prefix(context, ready, chosen).await;
--- a/crates/gradedyke/src/owner/tool.rs
+++ b/crates/gradedyke/src/owner/tool.rs
@@ -47,11 +47,7 @@
         attempt: idempotency_key(&context.program, &context.request),
         reserved: 0,
     };
-    let intended = context.intend(intent).await;
-    if let (Err(_), Some(choice)) = (&intended, &first) {
-        context.owner.fleet.unbook(choice.key, 0);
-    }
-    intended?;
+    context.intend(intent).await?;
     attempts(context, name, call, repeatable, first, false).await
 }
 
@@ -102,7 +98,6 @@
         let failed = match &choice {
             Some(chosen) => {
                 let result = one(context, chosen, call).await;
-                context.owner.fleet.unbook(chosen.key, 0);
                 avoid.push(chosen.key);
                 match result {
                     Ok(reply) => {
--- a/crates/gradedyke/src/routing/fleet.rs
+++ b/crates/gradedyke/src/routing/fleet.rs
@@ -69,6 +69,25 @@
     pub id: id::Backend,
     /// How it is spoken to.
     pub link: Link,
+    /// Ends the booking with the last clone of the choice, if there is one.
+    _booking: Option<Arc<Booking>>,
+}
+
+/// A call on its way to a backend server. It is over when this is dropped, so
+/// that a call which is given up in any way leaves no work behind in the books.
+struct Booking {
+    fleet: Arc<Fleet>,
+    key: Key,
+    work: u64,
+}
+
+impl Drop for Booking {
+    fn drop(&mut self) {
+        if let Some(server) = self.fleet.lock().get_mut(self.key) {
+            server.in_flight = server.in_flight.saturating_sub(1);
+            server.sent_tokens = server.sent_tokens.saturating_sub(self.work);
+        }
+    }
 }
 
 /// The backend servers as this owner sees them.
@@ -189,9 +208,10 @@
         .collect()
     }
 
-    /// Books a call on a backend server and returns how to speak to it.
+    /// Books a call that means `work` tokens on a backend server, and returns how
+    /// to speak to it. The booking ends when the choice is dropped.
     pub fn book(
-        &self,
+        self: &Arc<Self>,
         key: Key,
         chain: &[prefix::Key],
         tokens: &[u64],
@@ -204,24 +224,21 @@
         if server.cached.len() + chain.len() > PREFIXES {
             server.cached.clear();
         }
-        server
-            .cached
-            .extend(chain.iter().copied().zip(tokens.iter().copied()));
+        let known = chain.iter().copied().zip(tokens.iter().copied());
+        server.cached.extend(known);
+        let booking = Booking {
+            fleet: self.clone(),
+            key,
+            work,
+        };
         Some(Choice {
             key,
             id: server.id.clone(),
             link: server.link.clone(),
+            _booking: Some(Arc::new(booking)),
         })
     }
 
-    /// Ends a booking.
-    pub fn unbook(&self, key: Key, work: u64) {
-        if let Some(server) = self.lock().get_mut(key) {
-            server.in_flight = server.in_flight.saturating_sub(1);
-            server.sent_tokens = server.sent_tokens.saturating_sub(work);
-        }
-    }
-
     /// Takes in that a call went well.
     pub fn succeeded(&self, key: Key) {
         if let Some(server) = self.lock().get_mut(key) {
@@ -287,7 +304,7 @@
         servers.iter().filter_map(engine).collect()
     }
 
-    /// A backend server by its name.
+    /// A backend server by its name, without a booking.
     pub fn find(&self, id: &id::Backend) -> Option<Choice> {
         let servers = self.lock();
         let (key, server) = servers.iter().find(|(_, s)| s.id == *id)?;
@@ -295,6 +312,7 @@
             key,
             id: server.id.clone(),
             link: server.link.clone(),
+            _booking: None,
         })
     }
 }
