Write the opening of a program once in the tests; drop dead code

Fourteen tests opened their program in the same two lines, two files ran the command line by the same function, and Tree::account_of was used by nobody since entries look keys up in a table.

No check changes.

--- a/crates/gradedyke-base/src/settings/tree.rs
+++ b/crates/gradedyke-base/src/settings/tree.rs
@@ -246,16 +246,6 @@
         })
     }
 
-    /// The client account that `key` belongs to.
-    pub fn account_of(&self, key: &str) -> Option<id::Account> {
-        let hash = hash_key(key);
-        let (name, _) = self
-            .accounts
-            .iter()
-            .find(|(_, account)| account.keys.iter().any(|k| k.hash == hash))?;
-        id::Account::parse(name).ok()
-    }
-
     /// Whether `key` is an operator's.
     pub fn is_operator(&self, key: &str) -> bool {
         let hash = hash_key(key);
--- a/crates/gradedyke-cli/tests/processes.rs
+++ b/crates/gradedyke-cli/tests/processes.rs
@@ -1,6 +1,8 @@
 //! Real processes: stand-ins, three instances with every role, callers that go
 //! through different entries, a kill in the middle of a stream, a drain.
 
+mod support;
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -14,6 +16,7 @@
 use gradedyke_world::{JORDAN, KESTREL, MODEL, OPERATOR, chat, text_of, user};
 use http::Method;
 use serde_json::{Value, json};
+use support::gradedyke;
 
 const TIME: Duration = Duration::from_secs(60);
 /// Tokens after which the engine stands still until it is let go on.
@@ -119,19 +122,6 @@
     })
 }
 
-fn gradedyke(words: &[&str]) -> (i32, String, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_gradedyke"))
-        .args(words)
-        .output();
-    let output = output.unwrap();
-    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    (
-        output.status.code().unwrap(),
-        text(&output.stdout),
-        text(&output.stderr),
-    )
-}
-
 async fn ask<T: serde::de::DeserializeOwned>(at: SocketAddr, path: &str, body: Option<Value>) -> T {
     let client = Client::new(&client::Config::default());
     let method = if body.is_some() {
--- a/crates/gradedyke-cli/tests/words.rs
+++ b/crates/gradedyke-cli/tests/words.rs
@@ -1,19 +1,8 @@
 //! The command line's words: help for each command, exit codes, errors.
 
-use std::process::Command;
+mod support;
 
-fn gradedyke(words: &[&str]) -> (i32, String, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_gradedyke"))
-        .args(words)
-        .output();
-    let output = output.unwrap();
-    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    (
-        output.status.code().unwrap(),
-        text(&output.stdout),
-        text(&output.stderr),
-    )
-}
+use support::gradedyke;
 
 #[test]
 fn every_command_has_help() {
--- a/crates/gradedyke/tests/failures.rs
+++ b/crates/gradedyke/tests/failures.rs
@@ -8,7 +8,7 @@
 use gradedyke_standin::service::Mode;
 use gradedyke_world::{Config, World, chat, text_of, user};
 use serde_json::json;
-use support::{entry, kill, kind, other, owner, run};
+use support::{entry, kill, kind, open, other, owner, run};
 
 /// Tokens after which the engines stand still until they are let go on.
 const HELD_AT: u64 = 5;
@@ -36,8 +36,7 @@
     run(async {
         let mut world = World::start(Config::default()).await.unwrap();
         let caller = world.kestrel();
-        let opening = caller.open(world.entry(0), "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, world.entry(0), "minutes").await;
         let dies = other(&world, &program);
         hold(&world, Some(HELD_AT));
         let body = chat(&[user("Draft the minutes.")]);
@@ -71,8 +70,7 @@
         let mut world = World::start(Config::default()).await.unwrap();
         let caller = world.kestrel();
         let at = world.entry(0);
-        let opening = caller.open(at, "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "minutes").await;
         let body = chat(&[user("Draft the minutes.")]);
         let options = Options::request("first");
         let first = caller
@@ -115,8 +113,7 @@
     run(async {
         let mut world = World::start(Config::default()).await.unwrap();
         let caller = world.kestrel();
-        let opening = caller.open(world.entry(0), "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, world.entry(0), "minutes").await;
         let through = entry(&world, other(&world, &program));
         let dies = owner(&world, &program);
         let body = chat(&[user("Draft.")]);
@@ -140,8 +137,7 @@
         let world = World::start(Config::default()).await.unwrap();
         let caller = world.jordan();
         let (one, two) = (world.entry(0), world.entry(1));
-        let opening = caller.open(one, "valuation", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, one, "valuation").await;
         world.orders.set(Mode::LoseAnswer);
         let options = Options::request("order");
         let path = "orders/place";
@@ -165,8 +161,7 @@
         world.apply().await.unwrap();
         let caller = world.jordan();
         let at = world.entry(0);
-        let opening = caller.open(at, "valuation", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "valuation").await;
         // The second time the service would answer, but must not be called.
         for mode in [Mode::LoseAnswer, Mode::Well] {
             world.orders.set(mode);
@@ -184,8 +179,7 @@
     run(async {
         let mut world = World::start(Config::default()).await.unwrap();
         let caller = world.jordan();
-        let opening = caller.open(world.entry(0), "valuation", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, world.entry(0), "valuation").await;
         let through = entry(&world, other(&world, &program));
         let dies = owner(&world, &program);
         world.orders.set(Mode::Hang);
@@ -209,8 +203,7 @@
     run(async {
         let mut world = World::start(Config::default()).await.unwrap();
         let caller = world.jordan();
-        let opening = caller.open(world.entry(0), "valuation", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, world.entry(0), "valuation").await;
         let through = entry(&world, other(&world, &program));
         let dies = owner(&world, &program);
         world.orders.set(Mode::Hang);
--- a/crates/gradedyke/tests/platform_faults.rs
+++ b/crates/gradedyke/tests/platform_faults.rs
@@ -10,7 +10,7 @@
 use gradedyke_client::Options;
 use gradedyke_world::{Config, World, chat, user};
 use serde_json::json;
-use support::run;
+use support::{open, run};
 
 #[test]
 fn calls_go_on_while_the_key_value_service_is_down() {
@@ -39,8 +39,7 @@
         let world = World::start(Config::default()).await.unwrap();
         let caller = world.kestrel();
         let at = world.entry(0);
-        let opening = caller.open(at, "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "minutes").await;
         for turn in 0..3 {
             world.platform.lapse();
             let body = chat(&[user("More.")]);
--- a/crates/gradedyke/tests/programs.rs
+++ b/crates/gradedyke/tests/programs.rs
@@ -7,7 +7,7 @@
 use gradedyke_standin::service::Mode;
 use gradedyke_world::{Config, World, chat, text_of, user};
 use serde_json::json;
-use support::{kind, run};
+use support::{kind, open, run};
 
 fn numbered(request: &str, sequence: u64) -> Options {
     Options {
@@ -30,8 +30,7 @@
         let world = World::start(Config::default()).await.unwrap();
         let caller = world.kestrel();
         let at = world.entry(0);
-        let opening = caller.open(at, "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "minutes").await;
         let calls = [3, 1, 4, 2].map(|number| {
             let (caller, program) = (caller.clone(), program.clone());
             let at = world.entry(usize::try_from(number).unwrap());
@@ -148,8 +147,7 @@
         let world = World::start(Config::default()).await.unwrap();
         let caller = world.kestrel();
         let at = world.entry(0);
-        let opening = caller.open(at, "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "minutes").await;
         let first = user("one");
         let body = chat(std::slice::from_ref(&first));
         let answer = caller.chat(at, &program, &body, Options::request("1"));
@@ -262,8 +260,7 @@
         let world = World::start(config).await.unwrap();
         let caller = world.kestrel();
         let at = world.entry(0);
-        let opening = caller.open(at, "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "minutes").await;
         let body = chat(&[user("Draft.")]);
         let call = caller.chat(at, &program, &body, Options::request("draft"));
         call.await.unwrap();
@@ -280,8 +277,7 @@
         let world = World::start(Config::default()).await.unwrap();
         let caller = world.kestrel();
         let at = world.entry(0);
-        let opening = caller.open(at, "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "minutes").await;
         world.engines.iter().for_each(|e| e.hold_at(Some(2)));
         let body = chat(&[user("Draft.")]);
         let options = Options::request("draft");
@@ -306,8 +302,7 @@
         let world = World::start(config).await.unwrap();
         let caller = world.jordan();
         let at = world.entry(0);
-        let opening = caller.open(at, "valuation", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "valuation").await;
         let body = chat(&[user("Value.")]);
         let options = Options::request("value");
         caller
--- a/crates/gradedyke/tests/refusals.rs
+++ b/crates/gradedyke/tests/refusals.rs
@@ -10,7 +10,7 @@
 use gradedyke_world::{Config, JORDAN, KESTREL, OPERATOR, World, chat, user};
 use http::{Method, StatusCode, header};
 use serde_json::json;
-use support::{kind, run};
+use support::{kind, open, run};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -265,8 +265,7 @@
         world.apply().await.unwrap();
         let at = world.entry(0);
         let caller = world.kestrel();
-        let opening = caller.open(at, "minutes", None, None, "open");
-        let program = opening.await.unwrap();
+        let program = open(&caller, at, "minutes").await;
         world.engines.iter().for_each(|e| e.hold_at(Some(1)));
         let body = chat(&[user("Draft.")]);
         let options = Options::request("draft");
--- a/crates/gradedyke/tests/support/mod.rs
+++ b/crates/gradedyke/tests/support/mod.rs
@@ -2,11 +2,13 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gradedyke::Process;
 use gradedyke_base::id;
 use gradedyke_base::problem::Kind;
+use gradedyke_client::Caller;
 use gradedyke_http::client::Error;
 use gradedyke_world::World;
 use tracing_subscriber::EnvFilter;
@@ -62,11 +64,16 @@
 }
 
 /// The callers' address of the instance at a place.
-pub fn entry(world: &World, place: usize) -> std::net::SocketAddr {
+pub fn entry(world: &World, place: usize) -> SocketAddr {
     let process = world.processes[place].as_ref().unwrap();
     process.addresses().caller.unwrap()
 }
 
+/// Opens a program of an agent program, always by the same request.
+pub async fn open(caller: &Caller, at: SocketAddr, agent: &str) -> String {
+    caller.open(at, agent, None, None, "open").await.unwrap()
+}
+
 /// Kills the instance at a place.
 pub async fn kill(world: &mut World, place: usize) {
     world.processes[place].take().unwrap().kill().await;
