--- a/crates/gradedyke-cli/src/logs.rs
+++ b/crates/gradedyke-cli/src/logs.rs
@@ -20,3 +20,29 @@
         .with(layer)
         .try_init();
 }
+
+/// Lines that may wait for a reader of standard output that is slow. Each has
+/// some 200 bytes, so that they take less than a megabyte.
+const LINES: usize = 4_096;
+
+/// Starts to write events to standard output through a queue of bounded length:
+/// nothing ever waits for the reader. Lines beyond it are dropped, and counted.
+/// The queue is emptied when the guard is dropped.
+#[must_use]
+pub fn start_bounded(level: &str) -> tracing_appender::non_blocking::WorkerGuard {
+    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LINES)
+        .finish(std::io::stdout());
+    let filter = EnvFilter::try_from_env(VARIABLE).unwrap_or_else(|_| EnvFilter::new(level));
+    let layer = tracing_logfmt::builder()
+        .with_span_path(false)
+        .layer()
+        .with_writer(writer);
+    // A second start in one process changes nothing.
+    let _ = tracing_subscriber::registry()
+        .with(filter)
+        .with(layer)
+        .try_init();
+    guard
+}
--- a/crates/gradedyke-cli/src/main.rs
+++ b/crates/gradedyke-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod help;
 mod logs;
 mod run;
+mod serve;
 mod settings;
 
 use std::process::ExitCode;
@@ -64,6 +65,7 @@
     match command {
         "demo" => demo::command(args),
         "run" => run::command(args),
+        "serve" => serve::command(args),
         "settings" => settings::command(args),
         "standin" => run::standin(args),
         "status" => admin::status(args),
--- /dev/null
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -0,0 +1,51 @@
+//! One request of a caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gradedyke_turns::record::Id;
+use http::{HeaderMap, Method, Uri};
+use tokio::time::Instant;
+
+use crate::config::{Config, Route};
+use crate::dialect::Meta;
+
+/// A request that was read whole and has a route.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its name.
+    pub id: Id,
+    /// The configuration it was routed by.
+    pub config: Arc<Config>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that runs it.
+    pub service: String,
+    /// What the caller says of it.
+    pub meta: Meta,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When its head arrived.
+    pub arrived: Instant,
+    /// When it must be answered.
+    pub until: Instant,
+}
+
+impl Call {
+    /// Time left.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.until.saturating_duration_since(now)
+    }
+
+    /// Whether the service runs models.
+    pub fn engine(&self) -> Option<crate::config::Engine> {
+        self.config.services.get(&self.service)?.engine
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -0,0 +1,235 @@
+//! Requests from their head to their last byte.
+//!
+//! - [`call`]: a request that was read and routed.
+//! - [`attempt`]: one sending to one server.
+//! - [`plain`]: answers that are read whole; [`turn`]: streams and turns.
+//! - [`refusal`]: answers of the gateway's own.
+
+pub mod attempt;
+pub mod call;
+pub mod plain;
+pub mod refusal;
+pub mod turn;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use async_trait::async_trait;
+use gradedyke_http::{Body, Handler, body};
+use gradedyke_turns::mirror::Mirror;
+use gradedyke_turns::quorum::Quorum;
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::config::{Config, Kind, Route};
+use crate::dialect::{Dialect, Meta};
+use crate::fleet::Fleet;
+use call::Call;
+use refusal::Refusal;
+
+/// Time allowed to a caller that names none and whose route names none.
+const DEADLINE: Duration = Duration::from_secs(30);
+
+/// The entry role of one process.
+pub struct Entry {
+    /// How the outside spells things.
+    pub dialect: Arc<dyn Dialect>,
+    /// The copy of the platform's service.
+    pub mirror: Arc<Mirror>,
+    /// The configuration in force.
+    pub config: ArcSwapOption<Config>,
+    /// The backend servers.
+    pub fleet: Arc<Fleet>,
+    /// The keepers.
+    pub quorum: Arc<Quorum>,
+    /// Cancelled when the process begins to stop.
+    pub drain: CancellationToken,
+    /// Requests in progress.
+    pub active: AtomicUsize,
+}
+
+/// Counts a request as in progress until it is dropped.
+struct Active(Arc<Entry>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Entry {
+    /// Whether callers may come here.
+    pub fn ready(&self) -> bool {
+        let started = self.config.load().is_some() && self.fleet.listed() > 0;
+        started && !self.drain.is_cancelled() && self.quorum.reachable()
+    }
+
+    /// Puts the configuration of the mirror in force, if it is a later one.
+    pub fn configure(&self) {
+        let Some((value, revision)) = self.mirror.get(self.dialect.config_key()) else {
+            return;
+        };
+        match self.dialect.config(&value) {
+            Ok(config) => self.adopt(config, revision),
+            Err(error) => tracing::warn!(event = "config_not_read", revision, %error),
+        }
+    }
+
+    fn adopt(&self, config: Config, revision: u64) {
+        let before = self.config.load().as_ref().map(|c| c.version);
+        if before >= Some(config.version) {
+            return;
+        }
+        tracing::info!(
+            event = "config_in_force",
+            version = config.version,
+            before,
+            revision,
+            routes = config.len(),
+            services = config.services.len()
+        );
+        self.config.store(Some(Arc::new(config)));
+    }
+
+    async fn serve(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Response<Body>, (Refusal, Option<Meta>)> {
+        let meta = self.dialect.meta(request.headers());
+        let call = match self.read(request, meta.clone(), arrived).await {
+            Ok(call) => call,
+            Err(refusal) => return Err((refusal, Some(meta))),
+        };
+        let served = match call.route.kind {
+            Kind::Stream => turn::serve(self, Arc::new(call)).await,
+            Kind::Idempotent | Kind::Once => {
+                let served = plain::serve(self, &call);
+                // An answer that comes in the last moment is still wanted.
+                let served = tokio::time::timeout_at(call.until, served).await;
+                served.unwrap_or(Err(Refusal::TimedOut))
+            }
+        };
+        served.map_err(|refusal| (refusal, Some(meta)))
+    }
+
+    /// Routes a request and reads its body.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        meta: Meta,
+        arrived: Instant,
+    ) -> Result<Call, Refusal> {
+        let config = self.config.load_full().ok_or(Refusal::NotStarted)?;
+        let (head, incoming) = request.into_parts();
+        let host = head.headers.get(header::HOST);
+        let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+        let route = config.route(host, head.uri.path());
+        let route: Arc<Route> = route.ok_or(Refusal::NoRoute)?.clone();
+        let id = meta.request.clone().ok_or(Refusal::Malformed)?;
+        let allowed = meta.deadline.unwrap_or(DEADLINE).min(route.timeout);
+        let until = arrived + allowed;
+        let time = allowed.min(config.limits.idle);
+        let body = body::collect(incoming, config.limits.body_bytes, time).await;
+        let body = body.map_err(|problem| {
+            tracing::info!(event = "body_not_read", request = %id, problem = %problem.message);
+            match problem.kind {
+                gradedyke_base::problem::Kind::TooLarge => Refusal::TooLarge,
+                _ => Refusal::Malformed,
+            }
+        })?;
+        let named = meta.session.as_ref().or(meta.program.as_ref());
+        let service = route.target(named).ok_or(Refusal::NoServer)?.to_owned();
+        Ok(Call {
+            id,
+            config,
+            route,
+            service,
+            meta,
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body,
+            arrived,
+            until,
+        })
+    }
+}
+
+fn log(meta: Option<&Meta>, refusal: Refusal, waited: Duration, config: Option<u64>) {
+    let name = |id: Option<&gradedyke_turns::record::Id>| {
+        id.map_or_else(String::new, |id| id.as_str().to_owned())
+    };
+    tracing::info!(
+        event = "refused",
+        request = name(meta.and_then(|m| m.request.as_ref())),
+        program = name(meta.and_then(|m| m.program.as_ref())),
+        why = refusal.name(),
+        waited_ms = waited.as_millis(),
+        config
+    );
+}
+
+/// Answers callers' requests.
+pub struct Door(pub Arc<Entry>);
+
+#[async_trait]
+impl Handler for Door {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let entry = &self.0;
+        let arrived = Instant::now();
+        entry.active.fetch_add(1, Ordering::Relaxed);
+        let active = Active(entry.clone());
+        let served = entry.serve(request, arrived).await;
+        let seconds = arrived.elapsed().as_secs_f64();
+        let outcome = match &served {
+            Ok(_) => "answered",
+            Err((refusal, _)) => refusal.name(),
+        };
+        metrics::counter!("gradedyke_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("gradedyke_head_seconds").record(seconds);
+        let mut response = served.unwrap_or_else(|(refusal, meta)| {
+            let config = entry.config.load().as_ref().map(|c| c.version);
+            log(meta.as_ref(), refusal, arrived.elapsed(), config);
+            refusal.answer()
+        });
+        if entry.drain.is_cancelled() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        let (head, body) = response.into_parts();
+        Response::from_parts(head, hold(body, active))
+    }
+}
+
+/// A body that counts its request as in progress until it has ended.
+fn hold(body: Body, active: Active) -> Body {
+    use http_body_util::BodyExt;
+    body.map_frame(move |frame| {
+        let _ = &active;
+        frame
+    })
+    .boxed_unsync()
+}
+
+/// Answers the platform's question whether callers may come.
+pub struct Readiness(pub Arc<Entry>);
+
+#[async_trait]
+impl Handler for Readiness {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let asked = request.uri().path() == self.0.dialect.ready_path();
+        let status = match (asked, self.0.ready()) {
+            (false, _) => http::StatusCode::NOT_FOUND,
+            (true, true) => http::StatusCode::OK,
+            (true, false) => http::StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut response = Response::new(body::empty());
+        *response.status_mut() = status;
+        response
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -0,0 +1,127 @@
+//! Answers of the gateway's own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gradedyke_http::Body;
+use gradedyke_http::body;
+use http::{HeaderValue, Response, StatusCode, header};
+
+/// Why a request gets an answer of the gateway's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    NotStarted,
+    /// No route fits.
+    NoRoute,
+    /// The request is not well formed.
+    Malformed,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// No server may take it now; it has not run.
+    NoServer,
+    /// The servers that were asked did not run it.
+    Full,
+    /// The turns cannot be read or kept now; it has not run.
+    NoKeepers,
+    /// The turn that it continues does not exist.
+    NoTurn,
+    /// The program's budget is spent.
+    Spent,
+    /// Its time was over before it was sent.
+    TooLate,
+    /// It was sent, and what became of it is not known.
+    Broken,
+    /// It was sent, and its time is over.
+    TimedOut,
+}
+
+/// Wait asked of a caller whose request has not run, where the cause may go
+/// away with a single server or replica: a connect's time.
+const SOON: Duration = Duration::from_millis(250);
+/// The same where the whole process has just started.
+const STARTING: Duration = Duration::from_millis(400);
+
+impl Refusal {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::NotStarted => "not_started",
+            Refusal::NoRoute => "no_route",
+            Refusal::Malformed => "malformed",
+            Refusal::TooLarge => "too_large",
+            Refusal::NoServer => "no_server",
+            Refusal::Full => "full",
+            Refusal::NoKeepers => "no_keepers",
+            Refusal::NoTurn => "no_turn",
+            Refusal::Spent => "spent",
+            Refusal::TooLate => "too_late",
+            Refusal::Broken => "broken",
+            Refusal::TimedOut => "timed_out",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Refusal::NoRoute | Refusal::NoTurn => StatusCode::NOT_FOUND,
+            Refusal::Malformed => StatusCode::BAD_REQUEST,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::Spent => StatusCode::PAYMENT_REQUIRED,
+            Refusal::Broken => StatusCode::BAD_GATEWAY,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::NotStarted
+            | Refusal::NoServer
+            | Refusal::Full
+            | Refusal::NoKeepers
+            | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Refusal::NotStarted => Some(STARTING),
+            Refusal::NoServer | Refusal::Full | Refusal::NoKeepers => Some(SOON),
+            _ => None,
+        }
+    }
+
+    fn message(self) -> &'static str {
+        match self {
+            Refusal::NotStarted => "no configuration is known yet; come back soon",
+            Refusal::NoRoute => "no route for this host and path; correct them",
+            Refusal::Malformed => "the request is not well formed; correct its headers or body",
+            Refusal::TooLarge => "the body is larger than allowed; send less",
+            Refusal::NoServer => "no backend server is available; come back soon",
+            Refusal::Full => "the backend servers are full; come back soon",
+            Refusal::NoKeepers => "the conversation cannot be kept now; come back soon",
+            Refusal::NoTurn => "there is no such turn; start a new conversation",
+            Refusal::Spent => "the program's budget is spent; end it",
+            Refusal::TooLate => "the time was over before the request could be sent",
+            Refusal::Broken => "the backend server broke off; the request may have run",
+            Refusal::TimedOut => "the time is over; the request may have run",
+        }
+    }
+
+    /// The answer.
+    ///
+    /// ```
+    /// use gradedyke_gateway::entry::refusal::Refusal;
+    ///
+    /// let answer = Refusal::NoServer.answer();
+    /// assert_eq!(answer.status(), 503);
+    /// assert_eq!(answer.headers()["retry-after"], "0.25");
+    /// ```
+    pub fn answer(self) -> Response<Body> {
+        let text = format!("{}: {}\n", self.name(), self.message());
+        let mut answer = Response::new(body::full(Bytes::from(text)));
+        *answer.status_mut() = self.status();
+        let headers = answer.headers_mut();
+        let plain = HeaderValue::from_static("text/plain");
+        headers.insert(header::CONTENT_TYPE, plain);
+        let after = self.retry_after().map(|d| d.as_secs_f64().to_string());
+        if let Some(Ok(after)) = after.map(|a| HeaderValue::from_str(&a)) {
+            headers.insert(header::RETRY_AFTER, after);
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -0,0 +1,365 @@
+//! Requests whose answer is a stream of events, and turns of conversations.
+//!
+//! A turn takes one exchange with the keepers before it is sent, which reserves
+//! its budget and brings what was said before, and one after its last event is
+//! here and before that event is passed on. So whatever a caller has had whole
+//! is on a majority of disks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use gradedyke_http::body::{Failure, Sender};
+use gradedyke_http::{Body, body};
+use gradedyke_turns::index::Chain;
+use gradedyke_turns::quorum::{self, Ask};
+use gradedyke_turns::record::{Record, Reserved, Settled, Turn};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::Entry;
+use super::attempt::{self, Answered, Outcome};
+use super::call::Call;
+use super::refusal::Refusal;
+use crate::event::Splitter;
+use crate::fleet::{Choice, Question};
+use crate::link::Link;
+
+/// Events that may wait for a caller that reads slowly.
+const EVENTS: usize = 64;
+/// Longest time that is waited for the keepers before a turn is sent: ten
+/// exchanges with a sync each; a caller does better elsewhere then.
+const BEGIN: Duration = Duration::from_millis(300);
+/// Longest time to keep a turn whose answer is whole.
+const KEEP: Duration = Duration::from_millis(2_000);
+/// Longest time to settle what an attempt used, after its caller has gone.
+const SETTLE: Duration = Duration::from_secs(5);
+/// How long a budget's attempts are kept on routes that keep no turns.
+const BUDGET: Duration = Duration::from_secs(60);
+/// Servers that may refuse without running before the caller is told to come
+/// back, besides those the route allows to be sent to.
+const UNSENT: u32 = 3;
+
+/// Serves the request.
+pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
+    let (chain, ledger) = begin(entry, &call).await?;
+    let body = match &chain {
+        Some(chain) => join(&chain.body, &call.body),
+        None => call.body.clone(),
+    };
+    let answered = match dispatch(entry, &call, chain.as_ref(), body).await {
+        Ok(answered) => answered,
+        Err(refusal) => {
+            // Nothing of the answer has reached the caller.
+            ledger.settle(entry, 0);
+            return Err(refusal);
+        }
+    };
+    let status = answered.response.status();
+    let headers = entry.dialect.inbound(answered.response.headers());
+    let (sender, reply) = body::channel(EVENTS);
+    let relay = Relay {
+        entry: entry.clone(),
+        call,
+        ledger,
+        sender,
+        choice: answered.choice,
+        output: BytesMut::new(),
+        tokens: 0,
+        event_tokens: 0,
+    };
+    let (incoming, link, answer) = (
+        answered.response.into_body(),
+        answered.link,
+        answered.answer,
+    );
+    tokio::spawn(relay.run(status, incoming, link, answer));
+    let mut response = Response::new(reply);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(response)
+}
+
+fn join(before: &Bytes, new: &Bytes) -> Bytes {
+    let mut body = BytesMut::with_capacity(before.len() + new.len());
+    body.extend_from_slice(before);
+    body.extend_from_slice(new);
+    body.freeze()
+}
+
+/// What the keepers are to be told of an attempt's use.
+#[derive(Clone, Debug)]
+struct Ledger {
+    reserved: Option<Reserved>,
+}
+
+impl Ledger {
+    /// Tells what was used, in the background.
+    fn settle(&self, entry: &Arc<Entry>, tokens: u32) {
+        let Some(reserved) = self.reserved.clone() else {
+            return;
+        };
+        let entry = entry.clone();
+        tokio::spawn(async move {
+            let record = Record::Settled(Settled {
+                program: reserved.program,
+                request: reserved.request.clone(),
+                tokens,
+                keep_ms: reserved.keep_ms,
+            });
+            let until = Instant::now() + SETTLE;
+            if let Err(error) = entry.quorum.keep(&record, until).await {
+                // It stays reserved, which only makes the budget smaller.
+                tracing::warn!(event = "not_settled", request = %reserved.request, %error);
+            }
+        });
+    }
+}
+
+fn keep_ms(call: &Call) -> u32 {
+    let keep = call.route.retention.unwrap_or(BUDGET);
+    u32::try_from(keep.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Reserves the budget and reads the conversation.
+async fn begin(entry: &Arc<Entry>, call: &Call) -> Result<(Option<Chain>, Ledger), Refusal> {
+    let reserve = reserve(call);
+    let ledger = Ledger {
+        reserved: reserve.as_ref().map(|(r, _)| r.clone()),
+    };
+    let parent = call.route.retention.and(call.meta.parent.clone());
+    let ask = Ask {
+        reserve,
+        parent,
+        until: call.until.min(Instant::now() + BEGIN),
+    };
+    let started = Instant::now();
+    let begun = entry.quorum.begin(&ask).await;
+    metrics::histogram!("gradedyke_begin_seconds").record(started.elapsed().as_secs_f64());
+    match begun {
+        Ok(chain) => Ok((chain, ledger)),
+        Err(error) => {
+            tracing::info!(event = "turn_refused", request = %call.id,
+                view = entry.quorum.view().version,
+                waited_ms = started.elapsed().as_millis(), %error);
+            ledger.settle(entry, 0);
+            Err(match error {
+                quorum::Refusal::NoTurn => Refusal::NoTurn,
+                quorum::Refusal::Spent { .. } => Refusal::Spent,
+                quorum::Refusal::Unsure | quorum::Refusal::NoQuorum { .. } => Refusal::NoKeepers,
+            })
+        }
+    }
+}
+
+/// What an attempt reserves, with the whole budget.
+fn reserve(call: &Call) -> Option<(Reserved, u64)> {
+    let budget = call.meta.budget?;
+    let program = call.meta.program.clone()?;
+    let reserved = Reserved {
+        program,
+        request: call.id.clone(),
+        tokens: call.meta.usage.map_or(0, |u| u.answer),
+        keep_ms: keep_ms(call),
+    };
+    Some((reserved, budget))
+}
+
+/// Sends the request to one server after the other until one takes it.
+async fn dispatch(
+    entry: &Entry,
+    call: &Call,
+    chain: Option<&Chain>,
+    body: Bytes,
+) -> Result<Answered, Refusal> {
+    let mut tried = Vec::new();
+    let (mut sent, mut unsent) = (0, 0);
+    while sent < call.route.attempts && unsent < UNSENT {
+        let question = question(call, chain, &tried);
+        let Some(choice) = attempt::choose(entry, call, &question, sent + 1) else {
+            return Err(Refusal::NoServer);
+        };
+        tried.push(choice.key);
+        match attempt::send(entry, call, choice, body.clone()).await {
+            Outcome::Answered(answered) => return Ok(*answered),
+            Outcome::NotRun("unreachable") => unsent += 1,
+            Outcome::NotRun("no time left") => return Err(Refusal::TooLate),
+            Outcome::NotRun(_) => sent += 1,
+            Outcome::Unknown(_) => return Err(Refusal::Broken),
+            Outcome::TimedOut => return Err(Refusal::TimedOut),
+        }
+    }
+    Err(Refusal::Full)
+}
+
+fn question<'a>(
+    call: &'a Call,
+    chain: Option<&'a Chain>,
+    tried: &'a [crate::fleet::Key],
+) -> Question<'a> {
+    Question {
+        service: &call.service,
+        request: &call.id,
+        tried,
+        holder: chain.map(|c| &c.server),
+        prompt_tokens: call.meta.usage.map_or(0, |u| u.prompt),
+        // A byte is a token or less, so this is not too much by far.
+        held_tokens: chain.map_or(0, |c| c.body.len() as u64),
+        object: call.meta.object.as_ref(),
+        engine: true,
+        now: Instant::now(),
+    }
+}
+
+/// A stream on its way from a server to the caller.
+struct Relay {
+    entry: Arc<Entry>,
+    call: Arc<Call>,
+    ledger: Ledger,
+    sender: Sender,
+    choice: Choice,
+    output: BytesMut,
+    /// Tokens that were passed on, at most.
+    tokens: u32,
+    event_tokens: u32,
+}
+
+/// How a stream ended.
+enum End {
+    Whole,
+    /// The server broke off, or sent what is no stream.
+    Broken(String),
+    CallerLeft,
+    TimedOut,
+    /// The turn could not be kept.
+    NotKept,
+}
+
+impl Relay {
+    async fn run(
+        mut self,
+        status: StatusCode,
+        incoming: Incoming,
+        link: Link,
+        answer: crate::dialect::Answer,
+    ) {
+        self.event_tokens = self.call.engine().map_or(1, |e| e.event_tokens);
+        let end = self.pump(status, incoming).await;
+        let (name, cause) = match &end {
+            End::Whole => ("whole", ""),
+            End::Broken(cause) => ("broken", cause.as_str()),
+            End::CallerLeft => ("caller_left", ""),
+            End::TimedOut => ("timed_out", ""),
+            End::NotKept => ("not_kept", ""),
+        };
+        let now = Instant::now();
+        tracing::info!(event = "stream_ended", request = %self.call.id, end = name, cause,
+            server = %self.choice.id, status = status.as_u16(), tokens = self.tokens,
+            ms = (now - self.call.arrived).as_millis());
+        metrics::counter!("gradedyke_streams_total", "end" => name).increment(1);
+        match end {
+            End::Whole => {
+                if !answer.last {
+                    self.choice.pool.rest(link, answer.idle, now);
+                }
+                return;
+            }
+            End::Broken(_) => self
+                .entry
+                .fleet
+                .failed(self.choice.key, "stream broke off", now),
+            End::CallerLeft | End::TimedOut | End::NotKept => {}
+        }
+        self.ledger.settle(&self.entry, self.tokens);
+        // An error instead of an end cuts the connection, so that the caller
+        // does not take the part for the whole.
+        let cut: Failure = format!("the stream ended early: {name}").into();
+        let _ = self.sender.send(Err(cut)).await;
+    }
+
+    async fn pump(&mut self, status: StatusCode, mut incoming: Incoming) -> End {
+        let mut events = Splitter::default();
+        // The last event waits until the turn is kept; which one that is shows
+        // only when the stream ends.
+        let mut held: Option<Bytes> = None;
+        loop {
+            let frame = tokio::select! {
+                frame = tokio::time::timeout_at(self.call.until, incoming.frame()) => frame,
+                () = self.sender.closed() => return End::CallerLeft,
+            };
+            let data = match frame {
+                Err(_) => return End::TimedOut,
+                Ok(Some(Err(error))) => return End::Broken(error.to_string()),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) => break,
+            };
+            if let Err(error) = events.push(&data) {
+                return End::Broken(error.to_string());
+            }
+            while let Some(event) = events.next_event() {
+                self.note(&event);
+                if let Some(before) = held.replace(event)
+                    && !self.pass(before).await
+                {
+                    return End::CallerLeft;
+                }
+            }
+        }
+        let rest = Bytes::copy_from_slice(events.rest());
+        if status.is_success() && !rest.is_empty() {
+            return End::Broken("it ended within an event".to_owned());
+        }
+        if status.is_success() && !self.keep().await {
+            return End::NotKept;
+        }
+        for last in held.into_iter().chain(Some(rest).filter(|r| !r.is_empty())) {
+            if !self.pass(last).await {
+                return End::CallerLeft;
+            }
+        }
+        End::Whole
+    }
+
+    /// Takes an event into the turn.
+    fn note(&mut self, event: &Bytes) {
+        if let Some(data) = self.entry.dialect.event_data(event) {
+            self.output.extend_from_slice(data);
+            self.output.extend_from_slice(b"\n");
+        }
+        self.tokens += self.event_tokens;
+        tracing::debug!(event = "event", request = %self.call.id, text = ?event);
+    }
+
+    async fn pass(&mut self, event: Bytes) -> bool {
+        self.sender.send(Ok(event)).await.is_ok()
+    }
+
+    /// Keeps the turn on a majority of disks.
+    async fn keep(&mut self) -> bool {
+        let Some(_) = self.call.route.retention else {
+            self.ledger.settle(&self.entry, self.tokens);
+            return true;
+        };
+        let record = Record::Turn(Turn {
+            request: self.call.id.clone(),
+            parent: self.call.meta.parent.clone(),
+            input: self.call.body.clone(),
+            output: self.output.split().freeze(),
+            server: self.choice.id.clone(),
+            program: self.ledger.reserved.as_ref().map(|r| r.program.clone()),
+            tokens: self.tokens,
+            keep_ms: keep_ms(&self.call),
+        });
+        let started = Instant::now();
+        let until = self.call.until.min(started + KEEP);
+        let kept = self.entry.quorum.keep(&record, until).await;
+        metrics::histogram!("gradedyke_keep_seconds").record(started.elapsed().as_secs_f64());
+        if let Err(error) = &kept {
+            tracing::warn!(event = "turn_not_kept", request = %self.call.id, %error,
+                waited_ms = started.elapsed().as_millis());
+        }
+        kept.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -0,0 +1,395 @@
+//! The backend servers, with what is known and learned of them.
+//!
+//! The directory tells which there are; it may be away, and then what was known
+//! stays in use. A server whose item vanished while the directory was away is
+//! kept as a last resort for the time in which living servers come back; one
+//! whose item vanished in calm times has gone.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use gradedyke_turns::mirror::Mirror;
+use gradedyke_turns::record::Id;
+use slotmap::{SlotMap, new_key_type};
+use tokio::time::Instant;
+
+use crate::dialect::Dialect;
+use crate::link::Pool;
+use crate::placement::{Candidate, Policy};
+
+new_key_type! {
+    /// A backend server in the fleet.
+    pub struct Key;
+}
+
+/// How long a server that failed gets no work while others do, the first time.
+const REST_FIRST: Duration = Duration::from_millis(500);
+/// The longest such rest.
+const REST_LAST: Duration = Duration::from_secs(4);
+/// Time after the directory's return in which living servers write their items
+/// again: twice their heartbeat, and the way.
+const RETURN: Duration = Duration::from_millis(2_500);
+/// How long a server that vanished in calm times stays as a last resort: below
+/// the 2 s in which requests must have stopped.
+const VANISHED: Duration = Duration::from_millis(1_000);
+/// Names remembered for each server: conversations and objects it has seen.
+const SEEN: usize = 4_096;
+/// Weight of the newest answer in a server's average time.
+const NEWEST: f64 = 0.2;
+
+/// A backend server as the directory lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its identity, new with each start.
+    pub id: Id,
+    /// The service it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// It finishes what it has and takes nothing new.
+    pub leaving: bool,
+    /// How much longer it is slow from its start.
+    pub cold: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Listed,
+    /// Its item vanished, which was learned then; it is a last resort for a
+    /// while.
+    Vanished(Instant),
+}
+
+struct Known {
+    server: Server,
+    state: State,
+    pool: Arc<Pool>,
+    in_flight: u32,
+    failures: u32,
+    rests_until: Option<Instant>,
+    cold_until: Instant,
+    /// Average time to the head of an answer, in milliseconds.
+    time_ms: Option<f64>,
+    seen: HashMap<Id, Instant>,
+    /// Another server has its address; its item only has not vanished yet.
+    replaced: bool,
+}
+
+/// What is asked of the fleet.
+#[derive(Clone, Debug)]
+pub struct Question<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The request's name, which breaks ties.
+    pub request: &'a Id,
+    /// Servers that have had this request already.
+    pub tried: &'a [Key],
+    /// The server whose cache holds the conversation.
+    pub holder: Option<&'a Id>,
+    /// Tokens of the prompt, 0 for a plain service.
+    pub prompt_tokens: u64,
+    /// Tokens of the prompt that the holder need not read.
+    pub held_tokens: u64,
+    /// The object, or the shared start of the prompt.
+    pub object: Option<&'a Id>,
+    /// Whether the service runs models.
+    pub engine: bool,
+    /// The present time.
+    pub now: Instant,
+}
+
+/// A chosen server. The request counts as in progress until this is dropped.
+pub struct Choice {
+    fleet: Arc<Fleet>,
+    /// Its key.
+    pub key: Key,
+    /// Its identity.
+    pub id: Id,
+    /// Connections to it.
+    pub pool: Arc<Pool>,
+}
+
+impl Drop for Choice {
+    fn drop(&mut self) {
+        if let Some(known) = self.fleet.lock().servers.get_mut(self.key) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Servers {
+    servers: SlotMap<Key, Known>,
+    by_id: HashMap<Id, Key>,
+    by_service: HashMap<String, Vec<Key>>,
+}
+
+/// The backend servers as this entry sees them.
+pub struct Fleet {
+    data_centre: String,
+    policy: Arc<dyn Policy>,
+    servers: Mutex<Servers>,
+}
+
+impl Fleet {
+    /// An empty fleet as seen from a data centre.
+    pub fn new(data_centre: &str, policy: Arc<dyn Policy>) -> Arc<Self> {
+        Arc::new(Self {
+            data_centre: data_centre.to_owned(),
+            policy,
+            servers: Mutex::default(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Servers> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many servers are listed.
+    pub fn listed(&self) -> usize {
+        let servers = self.lock();
+        let listed = |k: &&Known| k.state == State::Listed;
+        servers.servers.values().filter(listed).count()
+    }
+
+    /// Brings the fleet in line with the mirror of the directory.
+    pub fn refresh(&self, mirror: &Mirror, dialect: &dyn Dialect) {
+        let mut servers = self.lock();
+        for (item, learned) in mirror.list(dialect.server_prefix()) {
+            let Some(id) = Id::parse(&item.key[dialect.server_prefix().len()..]) else {
+                continue;
+            };
+            match item.value {
+                Some(value) => match dialect.server(&item.key, &value) {
+                    Ok(server) => servers.list(server, learned),
+                    Err(error) => {
+                        tracing::warn!(event = "server_not_read", server = %id, %error);
+                    }
+                },
+                None => servers.vanish(&id, learned),
+            }
+        }
+    }
+
+    /// Forgets servers that vanished long enough ago. The directory has answered
+    /// since `steady` without a break.
+    pub fn expire(&self, steady: Option<Instant>, now: Instant) {
+        let mut servers = self.lock();
+        let gone = servers.servers.values().filter(|k| k.gone(steady, now));
+        let gone: Vec<Id> = gone.map(|k| k.server.id.clone()).collect();
+        for id in gone {
+            servers.remove(&id);
+        }
+    }
+
+    /// Chooses a server and counts the request as in progress there.
+    pub fn choose(self: &Arc<Self>, question: &Question<'_>) -> Option<Choice> {
+        let mut servers = self.lock();
+        let keys = servers.able(question);
+        let usual = servers.usual_ms(&keys);
+        let candidates: Vec<Candidate> = keys
+            .iter()
+            .map(|key| self.candidate(&servers.servers[*key], question, usual))
+            .collect();
+        let key = keys[self.policy.choose(&candidates)?];
+        let known = servers.servers.get_mut(key)?;
+        known.in_flight += 1;
+        if let Some(object) = question.object {
+            known.see(object, question.now);
+        }
+        Some(Choice {
+            fleet: self.clone(),
+            key,
+            id: known.server.id.clone(),
+            pool: known.pool.clone(),
+        })
+    }
+
+    fn candidate(&self, known: &Known, question: &Question<'_>, usual: Option<f64>) -> Candidate {
+        let holds = question.holder == Some(&known.server.id);
+        let familiar = question.object.is_some_and(|o| known.seen.contains_key(o));
+        let unread = if holds {
+            question.prompt_tokens.saturating_sub(question.held_tokens)
+        } else {
+            question.prompt_tokens
+        };
+        let slowness = match (known.time_ms, usual) {
+            (Some(time), Some(usual)) if usual > 0.0 => time / usual,
+            _ => 1.0,
+        };
+        Candidate {
+            in_flight: known.in_flight,
+            slots: known.server.slots,
+            near: known.server.data_centre == self.data_centre,
+            unread_tokens: unread,
+            engine: question.engine,
+            familiar,
+            cold: known.cold_until > question.now,
+            slowness,
+            draw: draw(question.request, &known.server.id),
+        }
+    }
+
+    /// Takes in that a server answered, `time` after the request was sent.
+    pub fn answered(&self, key: Key, time: Duration) {
+        if let Some(known) = self.lock().servers.get_mut(key) {
+            known.failures = 0;
+            known.rests_until = None;
+            let ms = time.as_secs_f64() * 1e3;
+            let before = known.time_ms.unwrap_or(ms);
+            known.time_ms = Some(before + (ms - before) * NEWEST);
+        }
+    }
+
+    /// Takes in that a server failed: it gets no work for a while, longer each
+    /// time.
+    pub fn failed(&self, key: Key, why: &str, now: Instant) {
+        let mut servers = self.lock();
+        let Some(known) = servers.servers.get_mut(key) else {
+            return;
+        };
+        let rest = REST_FIRST * 2_u32.saturating_pow(known.failures.min(10));
+        let rest = rest.min(REST_LAST);
+        known.failures += 1;
+        known.rests_until = Some(now + rest);
+        known.pool.clear();
+        tracing::info!(event = "server_rests", server = %known.server.id, why,
+            failures = known.failures, rest_ms = rest.as_millis());
+    }
+
+    /// Takes in that another server has its address: it has gone.
+    pub fn misdirected(&self, key: Key) {
+        let mut servers = self.lock();
+        if let Some(known) = servers.servers.get_mut(key) {
+            tracing::info!(event = "server_replaced", server = %known.server.id);
+            known.replaced = true;
+            known.pool.clear();
+        }
+    }
+}
+
+impl Known {
+    /// Whether a server that vanished is no longer even a last resort. Without
+    /// the directory nothing is certain; after its return, living servers need
+    /// a moment to write their items again.
+    fn gone(&self, steady: Option<Instant>, now: Instant) -> bool {
+        let State::Vanished(learned) = self.state else {
+            return false;
+        };
+        let calm = learned + VANISHED;
+        match steady {
+            None => false,
+            Some(steady) if learned < steady + RETURN => now >= calm.max(steady + RETURN),
+            Some(_) => now >= calm,
+        }
+    }
+
+    fn see(&mut self, object: &Id, now: Instant) {
+        if self.seen.len() >= SEEN {
+            self.seen.clear();
+        }
+        self.seen.insert(object.clone(), now);
+    }
+
+    fn rests(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| until > now)
+    }
+}
+
+impl Servers {
+    fn list(&mut self, server: Server, learned: Instant) {
+        if let Some(known) = self.by_id.get(&server.id).copied() {
+            let known = &mut self.servers[known];
+            if known.server.leaving != server.leaving {
+                tracing::info!(event = "server_changed", server = %server.id,
+                    leaving = server.leaving);
+            }
+            known.state = State::Listed;
+            known.server = server;
+            return;
+        }
+        tracing::info!(event = "server_listed", server = %server.id, service = server.service,
+            address = %server.address, leaving = server.leaving);
+        let id = server.id.clone();
+        let service = server.service.clone();
+        let key = self.servers.insert(Known {
+            state: State::Listed,
+            pool: Arc::new(Pool::new(server.address)),
+            in_flight: 0,
+            failures: 0,
+            rests_until: None,
+            cold_until: learned + server.cold,
+            time_ms: None,
+            seen: HashMap::new(),
+            replaced: false,
+            server,
+        });
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    fn vanish(&mut self, id: &Id, learned: Instant) {
+        let Some(known) = self.by_id.get(id).copied() else {
+            return;
+        };
+        let known = &mut self.servers[known];
+        if known.state == State::Listed {
+            tracing::info!(event = "server_vanished", server = %id);
+            known.state = State::Vanished(learned);
+        }
+    }
+
+    fn remove(&mut self, id: &Id) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        if let Some(known) = self.servers.remove(key) {
+            tracing::info!(event = "server_gone", server = %id);
+            known.pool.clear();
+            if let Some(keys) = self.by_service.get_mut(&known.server.service) {
+                keys.retain(|k| *k != key);
+            }
+        }
+    }
+
+    /// The servers that may run the request: of the best kind there are.
+    fn able(&self, question: &Question<'_>) -> Vec<Key> {
+        let Some(keys) = self.by_service.get(question.service) else {
+            return Vec::new();
+        };
+        let rank = |key: &Key| {
+            let known = &self.servers[*key];
+            let vanished = known.state != State::Listed;
+            (vanished, known.rests(question.now))
+        };
+        let open = |key: &&Key| {
+            let known = &self.servers[**key];
+            !known.server.leaving && !known.replaced && !question.tried.contains(key)
+        };
+        let open: Vec<Key> = keys.iter().filter(open).copied().collect();
+        let best = open.iter().map(rank).min();
+        open.into_iter().filter(|k| Some(rank(k)) == best).collect()
+    }
+
+    /// The usual time to the head of an answer among `keys`.
+    fn usual_ms(&self, keys: &[Key]) -> Option<f64> {
+        let times = keys.iter().filter_map(|k| self.servers[*k].time_ms);
+        let mut times: Vec<f64> = times.collect();
+        times.sort_by(f64::total_cmp);
+        times.get(times.len() / 2).copied()
+    }
+}
+
+fn draw(request: &Id, server: &Id) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    request.hash(&mut hasher);
+    server.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! The HTTP gateway: takes callers' requests, finds where each may run, and
+//! relays the answers.
+//!
+//! Two roles make a deployment. An *entry* stands before the callers: it routes
+//! by host and path, chooses a backend server, keeps within each route's limits
+//! and passes answers on byte for byte. It keeps nothing that must last. A
+//! *keeper* has a disk: it keeps turns and budgets ([`gradedyke_turns`]) and
+//! tells entries what the platform's key-value service holds.
+//!
+//! How callers, backend servers and the platform spell all this is behind the
+//! traits of [`dialect`]; nothing here knows a header or a key by name.
+//!
+//! - [`dialect`]: the border towards the outside, in this project's types.
+//! - [`config`]: routes and services as the operator sets them.
+//! - [`settings`]: settings of one process.
+//! - [`fleet`]: the backend servers; [`placement`]: which of them runs a request.
+//! - [`link`]: connections to backend servers.
+//! - [`event`]: events within a stream.
+//! - [`entry`]: requests from their head to their last byte.
+//! - [`process`]: a process from start to stop.
+
+pub mod config;
+pub mod dialect;
+pub mod entry;
+pub mod event;
+pub mod fleet;
+pub mod link;
+pub mod meter;
+pub mod placement;
+pub mod process;
+pub mod settings;
--- /dev/null
+++ b/crates/gradedyke-gateway/src/link.rs
@@ -0,0 +1,169 @@
+//! Connections to one backend server.
+//!
+//! What matters about a failed request is whether the server may have run it.
+//! Only a connect that failed, or a connection that closed before it took the
+//! request, says for certain that it did not.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Longest time for a connect: a hundred times the way to any server here; a
+/// lost opening packet is sent again after a second, and another server is
+/// better than waiting for that.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Longest rest of a connection whose server does not say how long it may be.
+/// Servers in use close theirs after 1.5 s and more.
+const REST: Duration = Duration::from_millis(900);
+/// How long before the end of the rest that a server allows a connection is no
+/// longer used: the way there, with a slow moment of either side.
+const REST_MARGIN: Duration = Duration::from_millis(300);
+/// Connections that rest at a time. More than a burst needs are closed.
+const RESTING: usize = 16;
+
+/// A request body.
+pub type Body = Full<Bytes>;
+
+/// Why a request failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Nothing was sent.
+    #[error("{0} cannot be reached ({1}); see whether it runs")]
+    NotSent(SocketAddr, String),
+    /// It was sent, and may have run.
+    #[error("{0} broke off ({1}); the request may have run, see its log")]
+    Broken(SocketAddr, String),
+}
+
+struct Resting {
+    sender: SendRequest<Body>,
+    until: Instant,
+}
+
+/// The connections to one server.
+pub struct Pool {
+    address: SocketAddr,
+    resting: Mutex<Vec<Resting>>,
+}
+
+/// A connection in use. It is closed when this is dropped without
+/// [`Pool::rest`], which also cancels the request on it.
+pub struct Link {
+    sender: SendRequest<Body>,
+    /// Whether it has carried a request before.
+    pub used: bool,
+}
+
+impl Pool {
+    /// Connections to the server at `address`; none is made yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            resting: Mutex::default(),
+        }
+    }
+
+    /// The server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn take(&self, now: Instant) -> Option<Link> {
+        let mut resting = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        resting.retain(|r| r.until > now && !r.sender.is_closed());
+        let place = resting.iter().rposition(|r| r.sender.is_ready())?;
+        let sender = resting.swap_remove(place).sender;
+        Some(Link { sender, used: true })
+    }
+
+    async fn connect(&self) -> Result<Link, Error> {
+        let not_sent = |cause: String| Error::NotSent(self.address, cause);
+        let connect = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await;
+        let stream = connect
+            .map_err(|_| not_sent("no answer to the connect".to_owned()))?
+            .map_err(|e| not_sent(e.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|e| not_sent(e.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| not_sent(e.to_string()))?;
+        metrics::counter!("gradedyke_backend_connections_total").increment(1);
+        let address = self.address;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "backend_connection_ended", %address, %error);
+            }
+        });
+        Ok(Link {
+            sender,
+            used: false,
+        })
+    }
+
+    /// Sends a request on a resting connection or a new one, and waits for the
+    /// head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] when it certainly has not run.
+    pub async fn send(
+        &self,
+        mut request: Request<Body>,
+        now: Instant,
+    ) -> Result<(Response<Incoming>, Link), Error> {
+        if let Some(mut link) = self.take(now) {
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, link)),
+                Err(mut failed) => match failed.take_message() {
+                    // The connection closed before it took the request.
+                    Some(back) => request = back,
+                    None => {
+                        return Err(Error::Broken(self.address, failed.error().to_string()));
+                    }
+                },
+            }
+        }
+        let mut link = self.connect().await?;
+        match link.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, link)),
+            Err(mut failed) => {
+                let sent = failed.take_message().is_none();
+                let cause = failed.error().to_string();
+                Err(if sent {
+                    Error::Broken(self.address, cause)
+                } else {
+                    Error::NotSent(self.address, cause)
+                })
+            }
+        }
+    }
+
+    /// Keeps a connection for the next request, after an answer that was read
+    /// to its end. `idle` is how long the server lets it rest.
+    pub fn rest(&self, link: Link, idle: Option<Duration>, now: Instant) {
+        let rest = idle.map_or(REST, |i| i.saturating_sub(REST_MARGIN).min(REST));
+        let mut resting = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        if resting.len() < RESTING && !link.sender.is_closed() {
+            resting.push(Resting {
+                sender: link.sender,
+                until: now + rest,
+            });
+        }
+    }
+
+    /// Closes all connections that rest.
+    pub fn clear(&self) {
+        let mut resting = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        resting.clear();
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -0,0 +1,261 @@
+//! A process from its start to its stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use eyre::{WrapErr, eyre};
+use gradedyke_http::Server;
+use gradedyke_http::server::{Config, Protocol};
+use gradedyke_platform::kv::KeyValue;
+use gradedyke_turns::feed;
+use gradedyke_turns::membership::{self, Membership};
+use gradedyke_turns::mirror::{self, Mirror};
+use gradedyke_turns::quorum::Quorum;
+use gradedyke_turns::replica::Replica;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::dialect::Dialect;
+use crate::entry::{Door, Entry, Readiness};
+use crate::fleet::Fleet;
+use crate::settings::Settings;
+use crate::{meter, placement};
+
+/// What surrounds a process.
+#[derive(Clone)]
+pub struct World {
+    /// How the outside spells things.
+    pub dialect: Arc<dyn Dialect>,
+    /// The platform's key-value service.
+    pub kv: Arc<dyn KeyValue>,
+}
+
+/// How often an entry looks at servers that vanished.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time in which the balancer notices that an entry leaves: it asks every
+/// second, and two answers in a row must say so.
+const LEAVE: Duration = Duration::from_millis(2_300);
+/// Time that is left before the end of the grace, for the end itself.
+const RESERVE: Duration = Duration::from_millis(400);
+/// How often it is looked whether all requests have ended.
+const IDLE: Duration = Duration::from_millis(25);
+/// Connections of callers at a time: three quarters of the descriptors of the
+/// smallest instance in use (4,100), each caller taking up to one more towards
+/// a server.
+const CONNECTIONS: usize = 1_500;
+/// The placement policy in use.
+const POLICY: &str = "cost";
+
+/// A running process. Its tasks end with it.
+pub struct Process {
+    stop: CancellationToken,
+    tasks: JoinSet<()>,
+    entry: Option<Arc<Entry>>,
+    settings: Arc<ArcSwap<Settings>>,
+}
+
+fn required<T>(value: Option<T>, what: &str) -> eyre::Result<T> {
+    value.ok_or_else(|| eyre!("{what} is not set; add it to the settings of this role"))
+}
+
+/// Follows all prefixes of the platform's service while `wanted`.
+fn follow(
+    tasks: &mut JoinSet<()>,
+    mirror: &Arc<Mirror>,
+    kv: &Arc<dyn KeyValue>,
+    wanted: impl Fn() -> bool + Clone + Send + Sync + 'static,
+    stop: &CancellationToken,
+) {
+    for prefix in mirror.prefixes().to_vec() {
+        tasks.spawn(mirror::follow(
+            mirror.clone(),
+            kv.clone(),
+            prefix,
+            wanted.clone(),
+            stop.clone(),
+        ));
+    }
+}
+
+fn prefixes(dialect: &dyn Dialect) -> Vec<&str> {
+    dialect.prefixes()
+}
+
+impl Process {
+    fn new(settings: Settings, entry: Option<Arc<Entry>>, stop: CancellationToken) -> Self {
+        let mut tasks = JoinSet::new();
+        meter::install();
+        if let Some(address) = settings.listen.metrics {
+            tasks.spawn(meter::serve(address, stop.clone()));
+        }
+        Self {
+            stop,
+            tasks,
+            entry,
+            settings: Arc::new(ArcSwap::from_pointee(settings)),
+        }
+    }
+
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// A setting of the role is missing, or a listener cannot be bound.
+    pub async fn entry(settings: Settings, world: World) -> eyre::Result<Self> {
+        let caller = required(settings.listen.caller, "listen.caller")?;
+        let ready = required(settings.listen.ready, "listen.ready")?;
+        let mirror = Mirror::new(&prefixes(&*world.dialect));
+        let quorum = Quorum::new(mirror.clone(), &settings.data_centre);
+        let policy = placement::policies().remove(POLICY);
+        let policy = policy.ok_or_else(|| eyre!("no policy {POLICY}; report this"))?;
+        let entry = Arc::new(Entry {
+            dialect: world.dialect.clone(),
+            mirror: mirror.clone(),
+            config: ArcSwapOption::empty(),
+            fleet: Fleet::new(&settings.data_centre, policy),
+            quorum: quorum.clone(),
+            drain: CancellationToken::new(),
+            active: AtomicUsize::new(0),
+        });
+        let stop = CancellationToken::new();
+        let mut process = Self::new(settings, Some(entry.clone()), stop.clone());
+        let health = Arc::new(feed::Health::new(Instant::now()));
+        let sources = sources(process.settings.clone(), quorum.clone());
+        let (feed_health, feed_stop) = (health.clone(), stop.clone());
+        let fed = mirror.clone();
+        let tasks = &mut process.tasks;
+        tasks.spawn(feed::run(fed, quorum, feed_health, sources, feed_stop));
+        let alone = move || health.alone(Instant::now());
+        follow(tasks, &mirror, &world.kv, alone, &stop);
+        tasks.spawn(refresh(entry.clone(), stop.clone()));
+        let config = Config {
+            protocol: Protocol::Http1,
+            connections: CONNECTIONS,
+            ..Config::default()
+        };
+        let door = bind(caller, config.clone(), "listen.caller").await?;
+        tasks.spawn(door.serve(Arc::new(Door(entry.clone())), stop.clone()));
+        let question = bind(ready, config, "listen.ready").await?;
+        tasks.spawn(question.serve(Arc::new(Readiness(entry)), stop));
+        process.started("entry");
+        Ok(process)
+    }
+
+    /// Starts a keeper.
+    ///
+    /// # Errors
+    ///
+    /// A setting of the role is missing, the data folder cannot be used, or a
+    /// listener cannot be bound.
+    pub async fn keeper(settings: Settings, world: World) -> eyre::Result<Self> {
+        let peer = required(settings.listen.peer, "listen.peer")?;
+        let folder = required(settings.data_folder.clone(), "data_folder")?;
+        let stop = CancellationToken::new();
+        let mirror = Mirror::new(&prefixes(&*world.dialect));
+        let replica = Replica::open(&folder, mirror.clone(), stop.clone())?;
+        let member = membership::Config {
+            name: settings.name.clone(),
+            address: peer,
+            data_centre: settings.data_centre.clone(),
+            first_start: settings.first_start,
+            tolerate: settings.tolerate,
+        };
+        let mut process = Self::new(settings, None, stop.clone());
+        let tasks = &mut process.tasks;
+        follow(tasks, &mirror, &world.kv, || true, &stop);
+        let membership = Membership::new(member, replica.clone(), world.kv, world.dialect);
+        tasks.spawn(membership.run(stop.clone()));
+        tasks.spawn(replica.clone().expire());
+        let listener = TcpListener::bind(peer).await;
+        let listener = listener
+            .wrap_err_with(|| format!("cannot listen on {peer}; free it or change listen.peer"))?;
+        tasks.spawn(gradedyke_peer::server::serve(listener, replica, stop));
+        process.started("keeper");
+        Ok(process)
+    }
+
+    fn started(&self, role: &str) {
+        let settings = self.settings.load();
+        tracing::info!(event = "started", role, instance = settings.name,
+            data_centre = settings.data_centre, platform = %settings.platform,
+            seeds = settings.seeds.len(), first_start = settings.first_start);
+    }
+
+    /// Puts changed settings in force: where to find others. What is bound at
+    /// the start stays until the next one.
+    pub fn reload(&self, settings: Settings) {
+        let seeds = settings.seeds.len();
+        tracing::info!(event = "reloaded", instance = settings.name, seeds);
+        self.settings.store(Arc::new(settings));
+    }
+
+    /// Waits until the process gives up by itself.
+    pub async fn failed(&self) {
+        self.stop.cancelled().await;
+    }
+
+    /// Stops as planned: callers are sent elsewhere, requests in progress are
+    /// finished, as far as the grace allows.
+    pub async fn drain(mut self) {
+        let began = Instant::now();
+        let grace = self.settings.load().grace();
+        let end = began + grace.saturating_sub(RESERVE);
+        tracing::info!(event = "draining", grace_ms = grace.as_millis());
+        if let Some(entry) = self.entry.clone() {
+            entry.drain.cancel();
+            tokio::time::sleep_until(end.min(began + LEAVE)).await;
+            // Stops taking connections and closes those that rest.
+            self.stop.cancel();
+            while entry.active.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+                tokio::time::sleep(IDLE).await;
+            }
+            let left = entry.active.load(Ordering::Relaxed);
+            tracing::info!(event = "stopped", ms = began.elapsed().as_millis(), left);
+        } else {
+            self.stop.cancel();
+            tracing::info!(event = "stopped", ms = began.elapsed().as_millis());
+        }
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn bind(address: SocketAddr, config: Config, setting: &str) -> eyre::Result<Server> {
+    let bound = Server::bind(address, config).await;
+    bound.wrap_err_with(|| format!("cannot listen on {address}; free it or change {setting}"))
+}
+
+/// Where an entry takes news from: keepers of the view, near ones first, then
+/// those of the settings.
+fn sources(settings: Arc<ArcSwap<Settings>>, quorum: Arc<Quorum>) -> impl Fn() -> Vec<SocketAddr> {
+    move || {
+        let settings = settings.load();
+        let mut members = quorum.view().members;
+        members.sort_by_key(|m| m.data_centre != settings.data_centre);
+        let mut sources: Vec<_> = members.into_iter().map(|m| m.address).collect();
+        let seeds = settings.seeds.iter().copied();
+        let new: Vec<_> = seeds.filter(|s| !sources.contains(s)).collect();
+        sources.extend(new);
+        sources
+    }
+}
+
+/// Brings configuration and fleet in line with the mirror.
+async fn refresh(entry: Arc<Entry>, stop: CancellationToken) {
+    let mut changed = entry.mirror.watch();
+    loop {
+        tokio::select! {
+            _ = changed.changed() => {
+                entry.configure();
+                entry.fleet.refresh(&entry.mirror, &*entry.dialect);
+            }
+            () = tokio::time::sleep(LOOK) => entry.quorum.mend(),
+            () = stop.cancelled() => return,
+        }
+        entry.fleet.expire(entry.mirror.steady(), Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -0,0 +1,110 @@
+//! Settings of one process: who it is, where it listens, what is around it.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gradedyke_base::settings::parse::{Error, Source};
+use serde::Deserialize;
+
+/// Addresses a process listens on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers (entries).
+    #[serde(default)]
+    pub caller: Option<SocketAddr>,
+    /// For the platform's question whether callers may come (entries).
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
+    /// For other processes of the system (keepers).
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
+    /// For metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Address of the platform's key-value service.
+    pub platform: SocketAddr,
+    /// Keepers to ask first; they may be gone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The folder for bulk data, on instances that have a disk.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
+    /// Disks that may be lost at a time with nothing lost.
+    #[serde(default = "tolerate")]
+    pub tolerate: usize,
+    /// Time from a request to stop until the process is killed, in seconds.
+    #[serde(default = "grace_s")]
+    pub grace_s: f64,
+    /// Time from the moment a server is known to leave to its last new request,
+    /// in milliseconds.
+    #[serde(default = "drain_ms")]
+    pub drain_ms: u64,
+}
+
+fn tolerate() -> usize {
+    1
+}
+
+fn grace_s() -> f64 {
+    8.0
+}
+
+fn drain_ms() -> u64 {
+    2_000
+}
+
+/// Shortest time to stop in: the balancer notices within two seconds.
+const SHORTEST_GRACE_S: f64 = 1.0;
+
+impl Settings {
+    /// Reads and checks the settings in `text`, which came from `file`.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found, with its place and remedy.
+    ///
+    /// ```
+    /// use gradedyke_gateway::settings::Settings;
+    ///
+    /// let text = r#"{
+    ///     // An entry.
+    ///     "name": "a-1", "data_centre": "a",
+    ///     "listen": { "caller": "127.0.0.1:80" },
+    ///     "platform": "127.0.0.1:81",
+    /// }"#;
+    /// assert_eq!(Settings::read("a.jsonc", text).unwrap().tolerate, 1);
+    /// ```
+    pub fn read(file: &str, text: &str) -> Result<Self, Error> {
+        let source = Source::new(file, text);
+        let settings: Self = source.read()?;
+        if settings.name.is_empty() {
+            return Err(source.error("name", "empty; give the instance's name"));
+        }
+        if settings.grace_s < SHORTEST_GRACE_S {
+            return Err(source.error("grace_s", "too short to stop in; give 1 or more"));
+        }
+        Ok(settings)
+    }
+
+    /// Time from a request to stop until the process is killed.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -0,0 +1,125 @@
+//! Takes the platform's news from a replica, so that most processes never call
+//! the platform's service.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::message::{self, Reply, Request};
+use crate::mirror::Mirror;
+use crate::quorum::Quorum;
+
+/// How long a replica may wait for news before it answers without.
+const WAIT: Duration = Duration::from_millis(500);
+/// Longest time for a call: the wait and the way.
+const CALL: Duration = Duration::from_millis(900);
+/// Wait before the next source is tried.
+const RETRY: Duration = Duration::from_millis(50);
+/// Age of a copy above which another source, or the service itself, is asked.
+/// Watches of the service answer at least every 0.8 s, and what a caller may
+/// expect of a change of configuration is 2 s.
+pub const STALE: Duration = Duration::from_millis(1_300);
+
+/// Time without news from a fresh copy after which the service itself is asked:
+/// a wait, and a change of the source.
+const ALONE: Duration = Duration::from_millis(700);
+
+/// Whether the feed brings fresh news.
+#[derive(Debug)]
+pub struct Health(Mutex<Instant>);
+
+impl Health {
+    /// The health of a feed that starts at `now`, as if it had just had news.
+    pub fn new(now: Instant) -> Self {
+        Self(Mutex::new(now))
+    }
+
+    /// Whether the service has to be asked instead.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// let health = gradedyke_turns::feed::Health::new(now);
+    /// assert!(!health.alone(now));
+    /// assert!(health.alone(now + Duration::from_secs(1)));
+    /// ```
+    pub fn alone(&self, now: Instant) -> bool {
+        let fresh = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        now.saturating_duration_since(fresh) > ALONE
+    }
+
+    fn fresh(&self, now: Instant) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+}
+
+/// Follows one source after the other until `stop`. `sources` lists them, the
+/// preferred one first.
+pub async fn run(
+    mirror: Arc<Mirror>,
+    quorum: Arc<Quorum>,
+    health: Arc<Health>,
+    sources: impl Fn() -> Vec<SocketAddr>,
+    stop: CancellationToken,
+) {
+    let mut turn = 0;
+    loop {
+        let known = sources();
+        if !known.is_empty() {
+            let source = known[turn % known.len()];
+            tokio::select! {
+                why = follow(&mirror, &quorum, &health, source) => {
+                    tracing::info!(event = "feed_left", %source, why);
+                }
+                () = stop.cancelled() => return,
+            }
+            turn += 1;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(RETRY) => {}
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+/// Follows one source until it fails or its copy is old.
+async fn follow(
+    mirror: &Mirror,
+    quorum: &Quorum,
+    health: &Health,
+    source: SocketAddr,
+) -> &'static str {
+    let client = quorum.client(source);
+    let (mut boot, mut since) = (0, 0);
+    let wait_ms = u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX);
+    loop {
+        let request = Request::Follow {
+            boot,
+            since,
+            wait_ms,
+        };
+        let reply = client.call(message::encode(&request), CALL).await;
+        let Ok(reply) = reply else {
+            return "no answer";
+        };
+        let Some(Reply::News(news)) = message::decode(&reply) else {
+            return "not understood";
+        };
+        let age = news.age_ms.map(Duration::from_millis);
+        let first = boot == 0;
+        (boot, since) = (news.boot, news.next);
+        mirror.learn(news, Instant::now());
+        if first {
+            tracing::info!(event = "feed_joined", %source, age = ?age);
+        }
+        if age.is_none_or(|a| a > STALE) {
+            return "its copy is old";
+        }
+        health.fresh(Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -0,0 +1,39 @@
+//! Conversation turns and token budgets, kept on several disks.
+//!
+//! A program is a tree of turns: each turn names the one it continues, and
+//! several may continue the same one. What has to outlast any process is, for
+//! each turn, its input and its answer, and for each program the tokens its
+//! attempts may have used. Both are records that never change once written:
+//! a turn is named by its request, and an attempt's use only goes from reserved
+//! to settled. So copies need no order among them, and no process has to be the
+//! owner of a program. Whoever serves a turn writes its records to all members
+//! of the [`view`] and goes on when a majority has them on disk; any two
+//! majorities share a member, so a reservation is seen by every later one.
+//!
+//! Weighed against a log with one owner for each program ([`gradedyke_journal`]
+//! in this repository): the owner is a hop more for each turn, and each of its
+//! deaths costs a takeover before the next turn. Given up: with two
+//! reservations at the same moment each may count the other, so the last turns
+//! of a budget can be refused to both.
+//!
+//! - [`record`]: the records; [`message`]: what processes ask of a replica.
+//! - [`log`]: records on a disk; [`index`]: what follows from them.
+//! - [`replica`]: the answering side; [`sync`]: replicas bring each other up to
+//!   date.
+//! - [`view`]: who the replicas are; [`membership`]: how that changes.
+//! - [`quorum`]: the asking side.
+//! - [`mirror`]: a copy of the platform's service; [`feed`]: how it spreads.
+//!
+//! [`gradedyke_journal`]: https://docs.rs/gradedyke-journal
+
+pub mod feed;
+pub mod index;
+pub mod log;
+pub mod membership;
+pub mod message;
+pub mod mirror;
+pub mod quorum;
+pub mod record;
+pub mod replica;
+pub mod sync;
+pub mod view;
--- /dev/null
+++ b/crates/gradedyke-turns/src/membership.rs
@@ -0,0 +1,382 @@
+//! How the view changes: replicas join, replace lost ones and leave.
+//!
+//! Each replica changes the view only for itself: it enters as one that does
+//! not count yet, takes in all that the others have, and then counts; at that
+//! moment it drops those that are gone for good. There is no leader among the
+//! replicas, and compare-and-swap orders their changes.
+//!
+//! Why dropping is safe: a record is on a majority. A replica counts only after
+//! it has followed so many that every majority has one of them, at a time when
+//! they already refuse requests of the view before.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gradedyke_platform::kv::{self, KeyValue, Swap, Swapped};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::mirror::Mirror;
+use crate::replica::Replica;
+use crate::sync::{Follower, Progress};
+use crate::view::{self, Disk, Member, View};
+
+/// How long a replica must be out of reach before a newcomer takes its place.
+/// A killed process is back within that time as a rule.
+const GONE: Duration = Duration::from_secs(2);
+/// The same where nobody waits for the place, and only the majority is to
+/// become smaller again.
+const SURPLUS: Duration = Duration::from_secs(8);
+/// How often the view is looked at when nothing changed.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Requests of operators to empty an instance, as the platform words them.
+pub trait Removal: Send + Sync {
+    /// Whether the instance `name` is to be emptied.
+    fn requested(&self, mirror: &Mirror, name: &str) -> bool;
+    /// The key and value that tell how far that is.
+    fn status(&self, name: &str, done: bool) -> (String, Vec<u8>);
+}
+
+/// How this replica takes part.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its instance's name.
+    pub name: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether the whole system starts for the first time, so that an empty
+    /// disk has lost nothing.
+    pub first_start: bool,
+    /// Disks that may be lost at a time.
+    pub tolerate: usize,
+}
+
+/// What a replica sees when it decides.
+#[derive(Clone, Debug)]
+pub struct Sight<'a> {
+    /// The view.
+    pub view: &'a View,
+    /// Its own disk.
+    pub disk: Disk,
+    /// How far it has followed the others.
+    pub progress: &'a HashMap<Disk, Progress>,
+    /// Whether it is to be emptied.
+    pub leave: bool,
+    /// Whether all others that count have followed all that it has.
+    pub followed: bool,
+}
+
+/// The view that a replica should propose, if any.
+pub fn decide(config: &Config, sight: &Sight<'_>, now: Instant) -> Option<View> {
+    let view = sight.view;
+    match view.find(sight.disk) {
+        None if sight.leave => None,
+        None => Some(enter(config, sight)),
+        Some(_) if sight.leave => leave(sight),
+        Some(me) if me.address != config.address => Some(moved(config, sight)),
+        Some(me) if me.active => drop_surplus(sight, now),
+        Some(_) => activate(sight, now),
+    }
+}
+
+/// Enters the view. Before so many count that anything could have been kept, an
+/// empty disk of a first start counts at once.
+fn enter(config: &Config, sight: &Sight<'_>) -> View {
+    let mut view = sight.view.clone();
+    view.tolerate = config.tolerate;
+    let unserved = view.active().count() <= config.tolerate;
+    let mut members = view.members.clone();
+    // The same instance with another disk: that one was lost.
+    members.retain(|m| m.name != config.name);
+    members.push(Member {
+        name: config.name.clone(),
+        disk: sight.disk,
+        address: config.address,
+        data_centre: config.data_centre.clone(),
+        active: config.first_start && unserved,
+    });
+    view.next(members)
+}
+
+fn moved(config: &Config, sight: &Sight<'_>) -> View {
+    let mut members = sight.view.members.clone();
+    for member in &mut members {
+        if member.disk == sight.disk {
+            member.address = config.address;
+        }
+    }
+    sight.view.next(members)
+}
+
+/// Leaves once the others have everything and are enough.
+fn leave(sight: &Sight<'_>) -> Option<View> {
+    let view = sight.view;
+    let others = view.active().filter(|m| m.disk != sight.disk).count();
+    if !sight.followed || others <= view.tolerate {
+        return None;
+    }
+    let mut members = view.members.clone();
+    members.retain(|m| m.disk != sight.disk);
+    Some(view.next(members))
+}
+
+/// Counts from now on, and drops those that are gone.
+fn activate(sight: &Sight<'_>, now: Instant) -> Option<View> {
+    let view = sight.view;
+    let mut gone = Vec::new();
+    let mut level = 0;
+    for member in view.active() {
+        let progress = sight.progress.get(&member.disk).copied();
+        let progress = progress.unwrap_or_default();
+        if progress.lost.is_some_and(|at| now - at >= GONE) {
+            gone.push(member.disk);
+        } else if progress.lost.is_none() && progress.level >= Some(view.version) {
+            level += 1;
+        } else {
+            return None;
+        }
+    }
+    // Every majority must have one of those that were followed.
+    if level + view.quorum() <= view.active().count() {
+        return None;
+    }
+    let mut members = view.members.clone();
+    members.retain(|m| !gone.contains(&m.disk));
+    for member in &mut members {
+        member.active |= member.disk == sight.disk;
+    }
+    Some(view.next(members))
+}
+
+/// Drops one that has been out of reach for long, where enough others remain.
+fn drop_surplus(sight: &Sight<'_>, now: Instant) -> Option<View> {
+    let view = sight.view;
+    let wanted = 2 * view.tolerate + 1;
+    if view.active().count() <= wanted {
+        return None;
+    }
+    let lost = |m: &&Member| {
+        let progress = sight.progress.get(&m.disk);
+        let lost = progress.and_then(|p| p.lost);
+        lost.is_some_and(|at| now - at >= SURPLUS)
+    };
+    let gone = view.active().find(lost)?.disk;
+    let mut members = view.members.clone();
+    members.retain(|m| m.disk != gone);
+    Some(view.next(members))
+}
+
+/// Keeps a replica in the view.
+pub struct Membership {
+    config: Config,
+    replica: Arc<Replica>,
+    kv: Arc<dyn KeyValue>,
+    removal: Arc<dyn Removal>,
+    followers: HashMap<(Disk, SocketAddr), Followed>,
+    tasks: JoinSet<()>,
+    told: Option<bool>,
+}
+
+struct Followed {
+    progress: watch::Receiver<Progress>,
+    _stop: DropGuard,
+}
+
+impl Membership {
+    /// A membership of `replica`.
+    pub fn new(
+        config: Config,
+        replica: Arc<Replica>,
+        kv: Arc<dyn KeyValue>,
+        removal: Arc<dyn Removal>,
+    ) -> Self {
+        Self {
+            config,
+            replica,
+            kv,
+            removal,
+            followers: HashMap::new(),
+            tasks: JoinSet::new(),
+            told: None,
+        }
+    }
+
+    /// Takes part until `stop`.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut changed = self.replica.mirror().watch();
+        loop {
+            self.look().await;
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep(LOOK) => {}
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    async fn look(&mut self) {
+        let mirror = self.replica.mirror().clone();
+        // Before the first listing nothing is known of the view.
+        if mirror.age(Instant::now()).is_none() {
+            return;
+        }
+        let (view, revision) = read(&mirror).unwrap_or_default();
+        self.replica.learn(&view);
+        self.follow(&view);
+        let leave = self.removal.requested(&mirror, &self.config.name);
+        let progress = self.progress();
+        let sight = Sight {
+            view: &view,
+            disk: self.replica.disk(),
+            progress: &progress,
+            leave,
+            followed: self.followed(&view),
+        };
+        let proposal = decide(&self.config, &sight, Instant::now());
+        if let Some(next) = proposal {
+            self.propose(next, revision).await;
+        }
+        if leave {
+            let done = view.find(self.replica.disk()).is_none();
+            self.tell(done).await;
+        }
+    }
+
+    fn progress(&self) -> HashMap<Disk, Progress> {
+        let followers = self.followers.iter();
+        let progress = |((disk, _), f): (&(Disk, SocketAddr), &Followed)| {
+            let progress: Progress = *f.progress.borrow();
+            (*disk, progress)
+        };
+        followers.map(progress).collect()
+    }
+
+    fn followed(&self, view: &View) -> bool {
+        let end = self.replica.index().end();
+        let own = self.replica.disk();
+        let mut others = view.active().filter(|m| m.disk != own);
+        others.all(|m| self.replica.followed(m.disk, end))
+    }
+
+    /// Follows exactly the other members.
+    fn follow(&mut self, view: &View) {
+        let own = self.replica.disk();
+        let others: Vec<_> = view.members.iter().filter(|m| m.disk != own).collect();
+        self.followers
+            .retain(|(disk, at), _| others.iter().any(|m| m.disk == *disk && m.address == *at));
+        for member in others {
+            let key = (member.disk, member.address);
+            if self.followers.contains_key(&key) {
+                continue;
+            }
+            let (sender, progress) = watch::channel(Progress::default());
+            let stop = CancellationToken::new();
+            let replica = self.replica.clone();
+            let follower = Follower::new(replica, member.disk, member.address, sender);
+            self.tasks.spawn(follower.run(stop.clone()));
+            let followed = Followed {
+                progress,
+                _stop: stop.drop_guard(),
+            };
+            self.followers.insert(key, followed);
+        }
+        while self.tasks.try_join_next().is_some() {}
+    }
+
+    async fn propose(&self, view: View, expected: u64) {
+        let value = match serde_json::to_vec(&view) {
+            Ok(value) => value,
+            Err(error) => {
+                tracing::error!(event = "view_not_written", %error, remedy = "report this");
+                return;
+            }
+        };
+        let swap = Swap {
+            key: view::KEY.to_owned(),
+            expected,
+            value: Some(value.clone()),
+            lease: None,
+        };
+        let members: Vec<_> = view.members.iter().map(label).collect();
+        let members = members.join(",");
+        match kv::settle(&*self.kv, swap).await {
+            Ok(Swapped::Done(revision)) => {
+                tracing::info!(
+                    event = "view_changed",
+                    version = view.version,
+                    revision,
+                    members
+                );
+                let item = crate::mirror::Item {
+                    key: view::KEY.to_owned(),
+                    value: Some(value.into()),
+                    revision,
+                };
+                self.replica.mirror().put(vec![item], Instant::now());
+                self.replica.learn(&view);
+            }
+            Ok(Swapped::Conflict(_)) => {
+                tracing::info!(event = "view_conflict", version = view.version, expected);
+            }
+            Err(error) => {
+                tracing::warn!(event = "view_not_changed", version = view.version, %error);
+            }
+        }
+    }
+
+    /// Tells the operator how far the emptying is, once for each answer.
+    async fn tell(&mut self, done: bool) {
+        if self.told == Some(done) {
+            return;
+        }
+        let (key, value) = self.removal.status(&self.config.name, done);
+        let written = write(&*self.kv, key, value).await;
+        match written {
+            Ok(()) => {
+                self.told = Some(done);
+                tracing::info!(event = "emptying", instance = self.config.name, done);
+            }
+            Err(error) => tracing::warn!(event = "emptying_not_told", done, %error),
+        }
+    }
+}
+
+fn label(member: &Member) -> String {
+    let mark = if member.active { "" } else { "?" };
+    format!("{}{mark}", member.name)
+}
+
+/// Writes a key whatever it held before.
+async fn write(kv: &dyn KeyValue, key: String, value: Vec<u8>) -> Result<(), kv::Error> {
+    let expected = kv.get(&key).await?.map_or(0, |e| e.revision);
+    let swap = Swap {
+        key,
+        expected,
+        value: Some(value),
+        lease: None,
+    };
+    match kv::settle(kv, swap).await? {
+        Swapped::Done(_) => Ok(()),
+        Swapped::Conflict(_) => Err(kv::Error::Refused("somebody else wrote it".to_owned())),
+    }
+}
+
+/// The view in the mirror, with its revision.
+pub fn read(mirror: &Mirror) -> Option<(View, u64)> {
+    let (value, revision) = mirror.get(view::KEY)?;
+    match serde_json::from_slice(&value) {
+        Ok(view) => Some((view, revision)),
+        Err(error) => {
+            tracing::error!(event = "view_not_read", revision, %error,
+                remedy = "run the same version everywhere");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-turns/src/message.rs
@@ -0,0 +1,131 @@
+//! What processes ask of a replica.
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::index::{Attempt, Chain, Position};
+use crate::mirror::News;
+use crate::record::{Id, Key, Record, Reserved};
+use crate::view::{Disk, View};
+
+/// Asks to begin an attempt at a turn.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Begin {
+    /// Version of the view it is sent under.
+    pub view: u64,
+    /// What to reserve, if the program has a budget.
+    pub reserve: Option<Reserved>,
+    /// The turn that is continued.
+    pub parent: Option<Id>,
+    /// Whether the whole conversation is wanted, not only whether it is here.
+    pub chain: bool,
+}
+
+/// A request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Request {
+    /// Asks whether the replica is there.
+    Hello,
+    /// Begins an attempt.
+    Begin(Begin),
+    /// Keeps a record.
+    Keep {
+        /// Version of the view it is sent under.
+        view: u64,
+        /// The record.
+        record: Record,
+    },
+    /// Reads a conversation.
+    Chain(Id),
+    /// Reads which records arrived.
+    Keys {
+        /// Who asks.
+        disk: Disk,
+        /// The start of the replica that `from` belongs to.
+        boot: u64,
+        /// From where on; all before is with the asker.
+        from: Position,
+    },
+    /// Reads records.
+    Records(Vec<Key>),
+    /// Reads what changed in the mirror of the platform's service.
+    Follow {
+        /// The start of the replica that `since` belongs to.
+        boot: u64,
+        /// After which change.
+        since: u64,
+        /// How long to wait for one, in milliseconds.
+        wait_ms: u32,
+    },
+}
+
+/// What is known of a conversation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Found {
+    /// The turn is not here.
+    Missing,
+    /// It is here.
+    Here,
+    /// It is here, and this is it.
+    Whole(Chain),
+}
+
+/// A page of keys.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Keys {
+    /// The start of the replica; positions of another are void.
+    pub boot: u64,
+    /// Where to go on.
+    pub next: Position,
+    /// Whether these were all.
+    pub all: bool,
+    /// The keys.
+    pub keys: Vec<Key>,
+    /// Version of the view the replica is in.
+    pub view: u64,
+}
+
+/// A reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// The replica is there.
+    Hello,
+    /// The attempt's reservation is kept.
+    Began {
+        /// All attempts of the program, this one too.
+        attempts: Vec<Attempt>,
+        /// The conversation, where one is continued.
+        parent: Option<Found>,
+    },
+    /// The record is kept.
+    Kept,
+    /// The conversation.
+    Chain(Option<Chain>),
+    /// Which records arrived.
+    Keys(Keys),
+    /// The records that are here.
+    Records(Vec<Record>),
+    /// What changed.
+    News(News),
+    /// The asker's view is old; this is the replica's.
+    Stale(View),
+    /// The replica cannot serve this.
+    Failed(String),
+}
+
+/// Encodes a message.
+pub fn encode<T: Serialize>(message: &T) -> Bytes {
+    match postcard::to_stdvec(message) {
+        Ok(bytes) => bytes.into(),
+        Err(error) => {
+            tracing::error!(event = "message_not_encoded", %error, remedy = "report this");
+            Bytes::new()
+        }
+    }
+}
+
+/// Decodes a message; `None` for one that another version wrote.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    postcard::from_bytes(bytes).ok()
+}
--- /dev/null
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -0,0 +1,369 @@
+//! A copy of what the platform's key-value service holds, in every process.
+//!
+//! Few processes watch the service; the others take what those know, because
+//! each call to it costs and its rates do not grow with the deployment. A change
+//! of a key is ordered by the service's revision, so it does not matter which
+//! way or how often it arrives: the later revision stands, and nothing that was
+//! in force ever comes back. An outage leaves the copy as it was.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use gradedyke_platform::kv::{Event, KeyValue, Revision};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// First wait after a failed call to the service.
+const RETRY_FIRST: Duration = Duration::from_millis(50);
+/// Longest such wait; an outage of seconds should not cost a second more.
+const RETRY_LAST: Duration = Duration::from_millis(800);
+
+/// A key with its value; no value when it was deleted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value, or `None` after a deletion.
+    pub value: Option<Bytes>,
+    /// The revision of the last change.
+    pub revision: Revision,
+}
+
+/// What changed since a point.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// The start of the process that tells it.
+    pub boot: u64,
+    /// The point to go on from.
+    pub next: u64,
+    /// The changes.
+    pub items: Vec<Item>,
+    /// All keys are in `items`: one that is not, and is not newer than this
+    /// revision, is gone.
+    pub whole: Option<Revision>,
+    /// Milliseconds since the service last confirmed all this; none if never.
+    pub age_ms: Option<u64>,
+    /// Milliseconds for which the service has answered without a break.
+    pub steady_ms: u64,
+}
+
+struct Held {
+    item: Item,
+    change: u64,
+    /// When this process learned of the change.
+    learned: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    items: BTreeMap<String, Held>,
+    change: u64,
+    /// Of each prefix that was listed: through which revision it is known, and
+    /// when the service last confirmed that.
+    through: HashMap<String, (Revision, Option<Instant>)>,
+    steady: Option<Instant>,
+}
+
+/// The copy.
+pub struct Mirror {
+    boot: u64,
+    prefixes: Vec<String>,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl Mirror {
+    /// An empty copy of all keys that begin with one of `prefixes`.
+    pub fn new(prefixes: &[&str]) -> Arc<Self> {
+        Arc::new(Self {
+            boot: rand::random(),
+            prefixes: prefixes.iter().map(|p| (*p).to_owned()).collect(),
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The prefixes that are copied.
+    pub fn prefixes(&self) -> &[String] {
+        &self.prefixes
+    }
+
+    /// A receiver that sees each change.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// A key's value and revision, if it is there.
+    pub fn get(&self, key: &str) -> Option<(Bytes, Revision)> {
+        let state = self.lock();
+        let item = &state.items.get(key)?.item;
+        Some((item.value.clone()?, item.revision))
+    }
+
+    /// All items under a prefix with the time at which each was learned,
+    /// deleted ones too.
+    pub fn list(&self, prefix: &str) -> Vec<(Item, Instant)> {
+        let state = self.lock();
+        let from = state.items.range(prefix.to_owned()..);
+        let under = from.take_while(|(key, _)| key.starts_with(prefix));
+        under
+            .map(|(_, held)| (held.item.clone(), held.learned))
+            .collect()
+    }
+
+    /// How long ago the service confirmed the copy; `None` before it ever did.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let confirmed = self.lock().confirmed(&self.prefixes)?;
+        Some(now.saturating_duration_since(confirmed))
+    }
+
+    /// Since when the service has answered without a break.
+    pub fn steady(&self) -> Option<Instant> {
+        self.lock().steady
+    }
+
+    /// Takes changes in.
+    pub fn put(&self, items: Vec<Item>, now: Instant) {
+        let mut state = self.lock();
+        let mut fresh = false;
+        for item in items {
+            fresh |= state.put(item, now);
+        }
+        self.tell(state, fresh);
+    }
+
+    /// Takes in a whole listing of `prefix` as of `revision`.
+    pub fn replace(&self, prefix: &str, items: Vec<Item>, revision: Revision, now: Instant) {
+        let mut state = self.lock();
+        let fresh = state.replace(prefix, items, revision, now);
+        self.tell(state, fresh);
+    }
+
+    fn tell(&self, state: MutexGuard<'_, State>, fresh: bool) {
+        let change = state.change;
+        drop(state);
+        if fresh {
+            self.changed.send_replace(change);
+        }
+    }
+
+    /// Notes that the service confirmed the copy of a prefix at `now`.
+    fn confirm(&self, prefix: &str, now: Instant) {
+        let mut state = self.lock();
+        state.confirm(prefix, Some(now));
+        state.steady.get_or_insert(now);
+    }
+
+    /// Notes that the service failed to answer.
+    fn broken(&self) {
+        self.lock().steady = None;
+    }
+
+    /// What changed after `since`, a point of the process start `boot`.
+    pub fn news(&self, boot: u64, since: u64, now: Instant) -> News {
+        let state = self.lock();
+        let known = boot == self.boot;
+        let since = if known { since } else { 0 };
+        let through = self.prefixes.iter();
+        let through = through.map(|p| state.through.get(p).map(|(revision, _)| *revision));
+        let complete = through.min().flatten();
+        let fresh = state.items.values().filter(|h| h.change > since);
+        let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        let past = |at: Instant| ms(now.saturating_duration_since(at));
+        News {
+            boot: self.boot,
+            next: state.change,
+            items: fresh.map(|h| h.item.clone()).collect(),
+            whole: complete.filter(|_| !known),
+            age_ms: state.confirmed(&self.prefixes).map(past),
+            steady_ms: state.steady.map(past).unwrap_or_default(),
+        }
+    }
+
+    /// Takes in what another process knows.
+    pub fn learn(&self, news: News, now: Instant) {
+        let mut state = self.lock();
+        let mut fresh = false;
+        match news.whole {
+            Some(revision) => {
+                for prefix in &self.prefixes {
+                    let under = |i: &&Item| i.key.starts_with(prefix.as_str());
+                    let items = news.items.iter().filter(under).cloned().collect();
+                    fresh |= state.replace(prefix, items, revision, now);
+                }
+            }
+            None => {
+                for item in news.items {
+                    fresh |= state.put(item, now);
+                }
+            }
+        }
+        if let Some(age) = news.age_ms {
+            let confirmed = now.checked_sub(Duration::from_millis(age));
+            for prefix in &self.prefixes {
+                state.confirm(prefix, confirmed);
+            }
+            state.steady = now.checked_sub(Duration::from_millis(news.steady_ms));
+        }
+        self.tell(state, fresh);
+    }
+}
+
+impl State {
+    /// When all prefixes were last confirmed.
+    fn confirmed(&self, prefixes: &[String]) -> Option<Instant> {
+        let each = prefixes.iter().map(|p| self.through.get(p)?.1);
+        each.min().flatten()
+    }
+
+    fn confirm(&mut self, prefix: &str, at: Option<Instant>) {
+        if let Some((_, confirmed)) = self.through.get_mut(prefix) {
+            *confirmed = at.max(*confirmed);
+        }
+    }
+
+    fn put(&mut self, item: Item, now: Instant) -> bool {
+        if let Some(held) = self.items.get(&item.key)
+            && held.item.revision >= item.revision
+        {
+            return false;
+        }
+        self.change += 1;
+        let held = Held {
+            change: self.change,
+            learned: now,
+            item,
+        };
+        self.items.insert(held.item.key.clone(), held);
+        true
+    }
+
+    fn replace(
+        &mut self,
+        prefix: &str,
+        items: Vec<Item>,
+        revision: Revision,
+        now: Instant,
+    ) -> bool {
+        let listed: std::collections::HashSet<_> = items.iter().map(|i| i.key.clone()).collect();
+        let gone = |held: &&Held| {
+            let item = &held.item;
+            item.key.starts_with(prefix)
+                && item.value.is_some()
+                && item.revision <= revision
+                && !listed.contains(&item.key)
+        };
+        let gone: Vec<String> = self
+            .items
+            .values()
+            .filter(gone)
+            .map(|h| h.item.key.clone())
+            .collect();
+        let mut fresh = false;
+        for key in gone {
+            // One above what is held, so that it stands over it; a later change
+            // has a higher revision still, for the listing is at least as new.
+            let value = None;
+            let revision = revision.max(1);
+            self.items.remove(&key);
+            fresh |= self.put(
+                Item {
+                    key,
+                    value,
+                    revision,
+                },
+                now,
+            );
+        }
+        for item in items {
+            fresh |= self.put(item, now);
+        }
+        let through = self.through.entry(prefix.to_owned()).or_default();
+        through.0 = revision.max(through.0);
+        fresh
+    }
+}
+
+/// Lists and watches one prefix until `stop`. With `wanted`, it does so only
+/// while that tells it to.
+pub async fn follow(
+    mirror: Arc<Mirror>,
+    kv: Arc<dyn KeyValue>,
+    prefix: String,
+    wanted: impl Fn() -> bool,
+    stop: CancellationToken,
+) {
+    let mut wait = RETRY_FIRST;
+    loop {
+        if wanted() {
+            match read(&mirror, &*kv, &prefix, &wanted, &mut wait).await {
+                Ok(()) => {}
+                Err(error) => {
+                    mirror.broken();
+                    tracing::warn!(event = "platform_lost", prefix, %error);
+                }
+            }
+        }
+        let jitter = wait.mul_f64(0.5 + rand::random::<f64>());
+        tokio::select! {
+            () = tokio::time::sleep(jitter) => {}
+            () = stop.cancelled() => return,
+        }
+        wait = (wait * 2).min(RETRY_LAST);
+    }
+}
+
+async fn read(
+    mirror: &Mirror,
+    kv: &dyn KeyValue,
+    prefix: &str,
+    wanted: &impl Fn() -> bool,
+    wait: &mut Duration,
+) -> Result<(), gradedyke_platform::kv::Error> {
+    let listing = kv.list(prefix).await?;
+    let items = listing.entries.into_iter().map(|e| Item {
+        key: e.key,
+        value: Some(e.value.into()),
+        revision: e.revision,
+    });
+    let now = Instant::now();
+    mirror.replace(prefix, items.collect(), listing.revision, now);
+    mirror.confirm(prefix, now);
+    tracing::info!(
+        event = "platform_regained",
+        prefix,
+        revision = listing.revision
+    );
+    let mut watch = kv.watch(prefix, listing.revision + 1).await?;
+    while wanted() {
+        let events = watch.next().await?;
+        *wait = RETRY_FIRST;
+        let now = Instant::now();
+        mirror.put(events.into_iter().map(item).collect(), now);
+        mirror.confirm(prefix, now);
+    }
+    Ok(())
+}
+
+fn item(event: Event) -> Item {
+    match event {
+        Event::Put(entry) => Item {
+            key: entry.key,
+            value: Some(entry.value.into()),
+            revision: entry.revision,
+        },
+        Event::Delete { key, revision } => Item {
+            key,
+            value: None,
+            revision,
+        },
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -0,0 +1,404 @@
+//! The asking side: begins attempts and keeps records with a majority.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use gradedyke_peer::Client;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use crate::index::{Attempt, Chain};
+use crate::membership;
+use crate::message::{self, Begin, Found, Reply, Request};
+use crate::mirror::Mirror;
+use crate::record::{Id, Record, Reserved};
+use crate::view::{Member, View};
+
+/// Longest time for a replica's reply that is still of use: several syncs of a
+/// slow disk. What arrives later is settled by the replicas among themselves.
+const CALL: Duration = Duration::from_millis(1_000);
+/// How long the nearest replica's copy of a conversation is waited for after
+/// the majority has answered, before another is asked.
+const PATIENCE: Duration = Duration::from_millis(25);
+/// Replicas that must miss a turn, besides being all, before it is taken as
+/// never kept; see [`Refusal::NoTurn`].
+const TRIES: usize = 2;
+
+/// Why an attempt may not begin. Nothing has been sent to a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// All replicas answered, and none has the turn that is continued.
+    #[error("no replica has the turn; start a new conversation")]
+    NoTurn,
+    /// The turn may exist, but those who could tell do not answer.
+    #[error("it cannot be told now whether the turn exists; come back soon")]
+    Unsure,
+    /// The budget is spent.
+    #[error("the budget of {budget} tokens has no room for {asked} beside {used}; end the program")]
+    Spent {
+        /// The budget, in tokens.
+        budget: u64,
+        /// Tokens used and reserved by other attempts.
+        used: u64,
+        /// Tokens asked for.
+        asked: u32,
+    },
+    /// No majority of replicas answers.
+    #[error("{answered} of {needed} replicas answered; see whether they run")]
+    NoQuorum {
+        /// Replicas that answered.
+        answered: usize,
+        /// Replicas that must.
+        needed: usize,
+    },
+}
+
+/// What is asked for an attempt.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// What to reserve, with the whole budget, if there is one.
+    pub reserve: Option<(Reserved, u64)>,
+    /// The turn that is continued.
+    pub parent: Option<Id>,
+    /// When the answer is of no use any more.
+    pub until: Instant,
+}
+
+/// The replicas as one asking process sees them.
+pub struct Quorum {
+    mirror: Arc<Mirror>,
+    data_centre: String,
+    clients: Mutex<HashMap<SocketAddr, Client>>,
+    view: watch::Sender<View>,
+}
+
+struct Answers {
+    receiver: mpsc::Receiver<(Member, Option<Reply>)>,
+    asked: usize,
+}
+
+impl Quorum {
+    /// The replicas of the view in `mirror`, asked from `data_centre`.
+    pub fn new(mirror: Arc<Mirror>, data_centre: &str) -> Arc<Self> {
+        Arc::new(Self {
+            mirror,
+            data_centre: data_centre.to_owned(),
+            clients: Mutex::default(),
+            view: watch::Sender::new(View::default()),
+        })
+    }
+
+    /// The latest view known.
+    pub fn view(&self) -> View {
+        if let Some((view, _)) = membership::read(&self.mirror) {
+            self.learn(&view);
+        }
+        self.view.borrow().clone()
+    }
+
+    fn learn(&self, view: &View) {
+        self.view.send_if_modified(|known| {
+            let later = view.version > known.version;
+            if later {
+                tracing::info!(event = "view_learned", version = view.version);
+                known.clone_from(view);
+            }
+            later
+        });
+    }
+
+    /// Whether a majority could be reached when it was last tried.
+    pub fn reachable(&self) -> bool {
+        let view = self.view();
+        let up = view.active().filter(|m| !self.client(m.address).is_down());
+        up.count() >= view.quorum()
+    }
+
+    /// Tries again to reach the members that could not be reached: a process
+    /// that is not ready gets no requests, and so would never try by itself.
+    pub fn mend(&self) {
+        for member in self.view().members {
+            let client = self.client(member.address);
+            if !client.is_down() {
+                continue;
+            }
+            let hello = message::encode(&Request::Hello);
+            tokio::spawn(async move {
+                // Whether it worked shows in the client's state.
+                let _ = client.call(hello, CALL).await;
+            });
+        }
+    }
+
+    /// The client of the peer at `address`.
+    pub fn client(&self, address: SocketAddr) -> Client {
+        let clients = self.clients.lock();
+        let mut clients = clients.unwrap_or_else(PoisonError::into_inner);
+        clients
+            .entry(address)
+            .or_insert_with(|| Client::new(address))
+            .clone()
+    }
+
+    /// Sends a request to each member and returns their answers as they come.
+    fn ask(&self, view: &View, request: impl Fn(&Member) -> Bytes) -> Answers {
+        let (sender, receiver) = mpsc::channel(view.members.len().max(1));
+        for member in &view.members {
+            let client = self.client(member.address);
+            let body = request(member);
+            let sender = sender.clone();
+            let member = member.clone();
+            tokio::spawn(async move {
+                let reply = client.call(body, CALL).await;
+                let reply = reply.inspect_err(|error| {
+                    tracing::debug!(event = "replica_call_failed", replica = member.name, %error);
+                });
+                let reply = reply.ok().and_then(|r| message::decode::<Reply>(&r));
+                // Whoever has its majority does not wait for the rest.
+                let _ = sender.send((member, reply)).await;
+            });
+        }
+        Answers {
+            receiver,
+            asked: view.members.len(),
+        }
+    }
+
+    /// The member to take the conversation from: near, and reachable.
+    fn nearest<'a>(&self, view: &'a View) -> Option<&'a Member> {
+        let cost = |m: &&Member| {
+            let down = self.client(m.address).is_down();
+            (down, !m.active, m.data_centre != self.data_centre)
+        };
+        view.members.iter().min_by_key(cost)
+    }
+
+    /// Reserves what an attempt may use and reads what it continues.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]; the reservation may stand, so it is to be settled.
+    pub async fn begin(&self, ask: &Ask) -> Result<Option<Chain>, Refusal> {
+        for _ in 0..TRIES {
+            let view = self.view();
+            match self.begin_under(&view, ask).await {
+                Some(result) => return result,
+                None => continue,
+            }
+        }
+        Err(Refusal::NoQuorum {
+            answered: 0,
+            needed: self.view().quorum(),
+        })
+    }
+
+    /// `None` when the view turned out to be old.
+    async fn begin_under(&self, view: &View, ask: &Ask) -> Option<Result<Option<Chain>, Refusal>> {
+        if ask.reserve.is_none() && ask.parent.is_none() {
+            return Some(Ok(None));
+        }
+        let nearest = self.nearest(view).map(|m| m.disk);
+        let request = |member: &Member| {
+            message::encode(&Request::Begin(Begin {
+                view: view.version,
+                reserve: ask.reserve.as_ref().map(|(r, _)| r.clone()),
+                parent: ask.parent.clone(),
+                chain: Some(member.disk) == nearest,
+            }))
+        };
+        let mut gathered = Gathered::new(view);
+        let mut answers = self.ask(view, request);
+        let mut patience = None;
+        while !gathered.complete(ask) {
+            let until = patience.unwrap_or(ask.until);
+            let Ok(Some((member, reply))) =
+                tokio::time::timeout_at(until, answers.receiver.recv()).await
+            else {
+                break;
+            };
+            if let Some(Reply::Stale(view)) = &reply {
+                self.learn(view);
+                return None;
+            }
+            gathered.take(&member, reply);
+            if gathered.has_quorum() && patience.is_none() && gathered.holder.is_some() {
+                patience = Some(ask.until.min(Instant::now() + PATIENCE));
+            }
+        }
+        Some(self.conclude(gathered, ask, answers.asked).await)
+    }
+
+    async fn conclude(
+        &self,
+        gathered: Gathered,
+        ask: &Ask,
+        asked: usize,
+    ) -> Result<Option<Chain>, Refusal> {
+        let (answered, needed) = (gathered.answered, gathered.needed);
+        if !gathered.has_quorum() {
+            return Err(Refusal::NoQuorum { answered, needed });
+        }
+        if let Some((reserved, budget)) = &ask.reserve {
+            gathered.afford(reserved, *budget)?;
+        }
+        if ask.parent.is_none() {
+            return Ok(None);
+        }
+        match (gathered.chain, gathered.holder) {
+            (Some(chain), _) => Ok(Some(chain)),
+            (None, Some(holder)) => {
+                let chain = self.fetch(&holder, ask).await;
+                chain.map(Some).ok_or(Refusal::Unsure)
+            }
+            (None, None) if gathered.missing == asked && asked >= needed => Err(Refusal::NoTurn),
+            (None, None) => Err(Refusal::Unsure),
+        }
+    }
+
+    async fn fetch(&self, holder: &Member, ask: &Ask) -> Option<Chain> {
+        let request = Request::Chain(ask.parent.clone()?);
+        let time = ask.until.saturating_duration_since(Instant::now());
+        let client = self.client(holder.address);
+        let reply = client.call(message::encode(&request), time.min(CALL)).await;
+        match message::decode(&reply.ok()?)? {
+            Reply::Chain(chain) => chain,
+            _ => None,
+        }
+    }
+
+    /// Keeps a record; returns once a majority has it on disk.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoQuorum`]; the record may be kept all the same.
+    pub async fn keep(&self, record: &Record, until: Instant) -> Result<(), Refusal> {
+        loop {
+            let view = self.view();
+            match self.keep_under(&view, record, until).await {
+                Some(Err(_)) if Instant::now() < until => {
+                    tokio::time::sleep(PATIENCE).await;
+                }
+                Some(result) => return result,
+                None => {}
+            }
+        }
+    }
+
+    async fn keep_under(
+        &self,
+        view: &View,
+        record: &Record,
+        until: Instant,
+    ) -> Option<Result<(), Refusal>> {
+        let request = message::encode(&Request::Keep {
+            view: view.version,
+            record: record.clone(),
+        });
+        let mut gathered = Gathered::new(view);
+        let mut answers = self.ask(view, |_| request.clone());
+        while !gathered.has_quorum() {
+            let next = tokio::time::timeout_at(until, answers.receiver.recv()).await;
+            let Ok(Some((member, reply))) = next else {
+                break;
+            };
+            if let Some(Reply::Stale(view)) = &reply {
+                self.learn(view);
+                return None;
+            }
+            gathered.take(&member, reply);
+        }
+        if gathered.has_quorum() {
+            return Some(Ok(()));
+        }
+        let (answered, needed) = (gathered.answered, gathered.needed);
+        Some(Err(Refusal::NoQuorum { answered, needed }))
+    }
+}
+
+/// What the replicas said so far.
+struct Gathered {
+    needed: usize,
+    asked: usize,
+    heard: usize,
+    /// Active members that answered.
+    answered: usize,
+    attempts: HashMap<Id, Attempt>,
+    chain: Option<Chain>,
+    holder: Option<Member>,
+    missing: usize,
+}
+
+impl Gathered {
+    fn new(view: &View) -> Self {
+        Self {
+            needed: view.quorum(),
+            asked: view.members.len(),
+            heard: 0,
+            answered: 0,
+            attempts: HashMap::new(),
+            chain: None,
+            holder: None,
+            missing: 0,
+        }
+    }
+
+    fn has_quorum(&self) -> bool {
+        self.answered >= self.needed
+    }
+
+    /// Whether nothing more is worth waiting for.
+    fn complete(&self, ask: &Ask) -> bool {
+        let parent = ask.parent.is_none() || self.chain.is_some();
+        self.has_quorum() && parent || self.heard == self.asked
+    }
+
+    fn take(&mut self, member: &Member, reply: Option<Reply>) {
+        self.heard += 1;
+        match reply {
+            Some(Reply::Began { attempts, parent }) => {
+                self.answered += usize::from(member.active);
+                attempts.into_iter().for_each(|a| self.merge(a));
+                self.found(member, parent);
+            }
+            Some(Reply::Kept) => self.answered += usize::from(member.active),
+            Some(Reply::Failed(error)) => {
+                tracing::warn!(event = "replica_failed", replica = member.name, %error);
+            }
+            _ => {}
+        }
+    }
+
+    fn found(&mut self, member: &Member, parent: Option<Found>) {
+        match parent {
+            Some(Found::Whole(chain)) => self.chain = Some(chain),
+            Some(Found::Here) => self.holder = Some(member.clone()),
+            Some(Found::Missing) => self.missing += 1,
+            None => {}
+        }
+    }
+
+    fn merge(&mut self, attempt: Attempt) {
+        let known = self.attempts.get(&attempt.request);
+        if known.is_none_or(|k| attempt.settled && !k.settled) {
+            self.attempts.insert(attempt.request.clone(), attempt);
+        }
+    }
+
+    /// Whether the budget has room for the reservation beside all others.
+    fn afford(&self, reserved: &Reserved, budget: u64) -> Result<(), Refusal> {
+        let others = self.attempts.values();
+        let others = others.filter(|a| a.request != reserved.request);
+        let used: u64 = others.map(|a| u64::from(a.tokens)).sum();
+        if used + u64::from(reserved.tokens) <= budget {
+            return Ok(());
+        }
+        Err(Refusal::Spent {
+            budget,
+            used,
+            asked: reserved.tokens,
+        })
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -0,0 +1,299 @@
+//! The answering side: keeps records, tells conversations and news.
+
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use gradedyke_peer::Handler;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::index::{Index, Position};
+use crate::log::{self, Log};
+use crate::message::{self, Begin, Found, Keys, Reply, Request};
+use crate::mirror::Mirror;
+use crate::record::{Id, Record};
+use crate::view::{Disk, View};
+
+/// Keys in one page.
+const PAGE_KEYS: usize = 512;
+/// Longest wait of a replica that asks for keys: as long as its connection may
+/// stay silent without anybody learning that it is cut.
+const KEYS_WAIT: Duration = Duration::from_millis(800);
+/// Longest wait for news, whatever is asked for.
+const NEWS_WAIT: Duration = Duration::from_secs(5);
+/// How often expired records are looked for.
+const EXPIRE: Duration = Duration::from_secs(5);
+/// File in the data folder that holds the disk's identity.
+const IDENTITY: &str = "disk-id";
+
+/// A replica.
+pub struct Replica {
+    disk: Disk,
+    boot: u64,
+    log: Log,
+    index: Mutex<Index>,
+    /// The position after the last arrival.
+    arrived: watch::Sender<Position>,
+    view: watch::Sender<View>,
+    /// How far each other replica has followed.
+    followed: Mutex<std::collections::HashMap<Disk, Position>>,
+    mirror: Arc<Mirror>,
+    stop: CancellationToken,
+}
+
+/// Reads the disk's identity, or gives it one when it is empty.
+fn identity(folder: &Path) -> Result<Disk, log::Error> {
+    let wrap = |e| log::Error::Folder(folder.to_owned(), e);
+    let path = folder.join(IDENTITY);
+    if let Ok(text) = std::fs::read_to_string(&path)
+        && let Ok(disk) = Disk::from_str_radix(text.trim(), 16)
+    {
+        return Ok(disk);
+    }
+    let disk: Disk = rand::random();
+    // Written beside and renamed, so that a power loss leaves all or nothing.
+    let temporary: PathBuf = folder.join(format!("{IDENTITY}.new"));
+    std::fs::write(&temporary, format!("{disk:016x}\n")).map_err(wrap)?;
+    let file = std::fs::File::open(&temporary).map_err(wrap)?;
+    file.sync_all().map_err(wrap)?;
+    std::fs::rename(&temporary, &path).map_err(wrap)?;
+    log::sync_folder(folder).map_err(wrap)?;
+    Ok(disk)
+}
+
+impl Replica {
+    /// Opens the replica in `folder`, made if it is not there.
+    ///
+    /// # Errors
+    ///
+    /// [`log::Error::Folder`] when the folder cannot be used.
+    pub fn open(
+        folder: &Path,
+        mirror: Arc<Mirror>,
+        stop: CancellationToken,
+    ) -> Result<Arc<Self>, log::Error> {
+        let wrap = |e| log::Error::Folder(folder.to_owned(), e);
+        std::fs::create_dir_all(folder).map_err(wrap)?;
+        let disk = identity(folder)?;
+        let opened = Log::open(folder)?;
+        let mut index = Index::default();
+        let now = Instant::now();
+        for (record, segment) in &opened.records {
+            index.apply(record, *segment, now);
+        }
+        let (turns, programs) = index.sizes();
+        tracing::info!(
+            event = "records_read",
+            records = opened.records.len(),
+            turns,
+            programs
+        );
+        Ok(Arc::new(Self {
+            disk,
+            boot: rand::random(),
+            log: opened.log,
+            arrived: watch::Sender::new(index.end()),
+            index: Mutex::new(index),
+            view: watch::Sender::new(View::default()),
+            followed: Mutex::default(),
+            mirror,
+            stop,
+        }))
+    }
+
+    /// The identity of its disk.
+    pub fn disk(&self) -> Disk {
+        self.disk
+    }
+
+    /// The mirror it tells news of.
+    pub fn mirror(&self) -> &Arc<Mirror> {
+        &self.mirror
+    }
+
+    pub(crate) fn index(&self) -> MutexGuard<'_, Index> {
+        self.index.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The view as this replica knows it.
+    pub fn view(&self) -> watch::Receiver<View> {
+        self.view.subscribe()
+    }
+
+    /// Takes in a view, unless a later one is known.
+    pub fn learn(&self, view: &View) {
+        self.view.send_if_modified(|known| {
+            let later = view.version > known.version;
+            if later {
+                known.clone_from(view);
+            }
+            later
+        });
+    }
+
+    /// Whether another replica has followed all that arrived up to `position`.
+    pub(crate) fn followed(&self, disk: Disk, position: Position) -> bool {
+        let followed = self.followed.lock();
+        let followed = followed.unwrap_or_else(PoisonError::into_inner);
+        followed.get(&disk).is_some_and(|p| *p >= position)
+    }
+
+    /// Keeps a record: it is visible at once, and on disk at the return.
+    ///
+    /// # Errors
+    ///
+    /// [`log::Error::Write`]; the replica stops, because it no longer knows
+    /// what its disk holds.
+    pub async fn keep(&self, record: &Record) -> Result<(), log::Error> {
+        let key = record.key();
+        let end = {
+            let mut index = self.index();
+            index.apply(record, self.log.segment(), Instant::now());
+            index.end()
+        };
+        // A record that was here already may not be synced yet, so it is
+        // written once more.
+        let segment = self.log.append(record).await.inspect_err(|error| {
+            tracing::error!(event = "replica_stops", %error);
+            self.stop.cancel();
+        })?;
+        self.index().place(&key, segment);
+        self.arrived.send_replace(end);
+        Ok(())
+    }
+
+    fn stale(&self, version: u64) -> Option<Reply> {
+        let view = self.view.borrow();
+        (version < view.version).then(|| Reply::Stale(view.clone()))
+    }
+
+    async fn begin(&self, begin: Begin) -> Reply {
+        if let Some(stale) = self.stale(begin.view) {
+            return stale;
+        }
+        let mut attempts = Vec::new();
+        if let Some(reserved) = begin.reserve {
+            let program = reserved.program.clone();
+            if let Err(error) = self.keep(&Record::Reserved(reserved)).await {
+                return Reply::Failed(error.to_string());
+            }
+            attempts = self.index().attempts(&program);
+        }
+        let parent = begin.parent.map(|id| self.find(&id, begin.chain));
+        Reply::Began { attempts, parent }
+    }
+
+    fn find(&self, id: &Id, whole: bool) -> Found {
+        let index = self.index();
+        if !index.has_chain(id) {
+            return Found::Missing;
+        }
+        match index.chain(id) {
+            Some(chain) if whole => Found::Whole(chain),
+            _ => Found::Here,
+        }
+    }
+
+    async fn keep_under(&self, view: u64, record: &Record) -> Reply {
+        if let Some(stale) = self.stale(view) {
+            return stale;
+        }
+        match self.keep(record).await {
+            Ok(()) => Reply::Kept,
+            Err(error) => Reply::Failed(error.to_string()),
+        }
+    }
+
+    async fn keys(&self, disk: Disk, boot: u64, from: Position) -> Reply {
+        let from = if boot == self.boot { from } else { 0 };
+        {
+            let followed = self.followed.lock();
+            let mut followed = followed.unwrap_or_else(PoisonError::into_inner);
+            followed.insert(disk, from);
+        }
+        let mut arrived = self.arrived.subscribe();
+        let more = arrived.wait_for(|end| *end > from);
+        // Without an arrival the page is empty, which tells that all is well.
+        let _ = tokio::time::timeout(KEYS_WAIT, more).await;
+        let index = self.index();
+        let (keys, next) = index.arrived(from, PAGE_KEYS);
+        Reply::Keys(Keys {
+            boot: self.boot,
+            next,
+            all: next == index.end(),
+            keys,
+            view: self.view.borrow().version,
+        })
+    }
+
+    async fn follow(&self, boot: u64, since: u64, wait: Duration) -> Reply {
+        let mut changed = self.mirror.watch();
+        let news = self.mirror.news(boot, since, Instant::now());
+        if !news.items.is_empty() || news.whole.is_some() || news.boot != boot {
+            return Reply::News(news);
+        }
+        let more = changed.wait_for(|change| *change > since);
+        // Without a change the reply still tells how old the copy is.
+        let _ = tokio::time::timeout(wait.min(NEWS_WAIT), more).await;
+        Reply::News(self.mirror.news(boot, since, Instant::now()))
+    }
+
+    /// Forgets what has expired, again and again until `stop`.
+    pub async fn expire(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(EXPIRE);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = self.stop.cancelled() => return,
+            }
+            let empty = self.index().expire(Instant::now());
+            for segment in empty {
+                if self.log.remove(segment) {
+                    self.index().removed(segment);
+                }
+            }
+            let (turns, programs) = self.index().sizes();
+            metrics::gauge!("gradedyke_turns_kept").set(turns as f64);
+            metrics::gauge!("gradedyke_programs_kept").set(programs as f64);
+        }
+    }
+
+    async fn answer(&self, request: Request) -> Reply {
+        match request {
+            Request::Hello => Reply::Hello,
+            Request::Begin(begin) => self.begin(begin).await,
+            Request::Keep { view, record } => self.keep_under(view, &record).await,
+            Request::Chain(id) => Reply::Chain(self.index().chain(&id)),
+            Request::Keys { disk, boot, from } => self.keys(disk, boot, from).await,
+            Request::Records(keys) => {
+                let index = self.index();
+                Reply::Records(keys.iter().filter_map(|k| index.record(k)).collect())
+            }
+            Request::Follow {
+                boot,
+                since,
+                wait_ms,
+            } => {
+                let wait = Duration::from_millis(wait_ms.into());
+                self.follow(boot, since, wait).await
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Replica {
+    async fn handle(&self, request: Bytes) -> Bytes {
+        let reply = match message::decode(&request) {
+            Some(request) => self.answer(request).await,
+            None => Reply::Failed(
+                "the request is not understood; run the same version everywhere".to_owned(),
+            ),
+        };
+        message::encode(&reply)
+    }
+}
--- /dev/null
+++ b/crates/gradedyke-turns/src/view.rs
@@ -0,0 +1,78 @@
+//! Who the replicas are.
+//!
+//! The view is one value in the platform's key-value service, changed only by
+//! compare-and-swap and by one member at a time, so that a majority of one view
+//! and a majority of the next always share a member. Requests carry the version
+//! of the view they were sent under; a replica that knows a later one refuses.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Key of the view in the key-value service.
+pub const KEY: &str = "gradedyke/view";
+
+/// Identity of a replica's disk. A disk that was lost comes back with another.
+pub type Disk = u64;
+
+/// A replica in the view.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its instance's name.
+    pub name: String,
+    /// The identity of its disk.
+    pub disk: Disk,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether it holds all there is, and so counts for a majority. One that
+    /// does not is sent everything and brings itself up to date.
+    pub active: bool,
+}
+
+/// The replicas at one time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// Rises by one with each change; 0 before the first.
+    pub version: u64,
+    /// Disks that may be lost at the same time with nothing lost.
+    pub tolerate: usize,
+    /// The replicas.
+    pub members: Vec<Member>,
+}
+
+impl View {
+    /// The members that count.
+    pub fn active(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| m.active)
+    }
+
+    /// How many active members must have a record on disk.
+    ///
+    /// ```
+    /// use gradedyke_turns::view::View;
+    ///
+    /// // Nothing counts as kept before it would survive the losses tolerated.
+    /// let view = View { tolerate: 1, ..View::default() };
+    /// assert_eq!(view.quorum(), 2);
+    /// ```
+    pub fn quorum(&self) -> usize {
+        let majority = self.active().count() / 2 + 1;
+        majority.max(self.tolerate + 1)
+    }
+
+    /// The member with this disk.
+    pub fn find(&self, disk: Disk) -> Option<&Member> {
+        self.members.iter().find(|m| m.disk == disk)
+    }
+
+    /// The view after this one, with other members.
+    pub fn next(&self, members: Vec<Member>) -> Self {
+        Self {
+            version: self.version + 1,
+            tolerate: self.tolerate,
+            members,
+        }
+    }
+}
