--- a/crates/gradedyke-cli/src/logs.rs
+++ b/crates/gradedyke-cli/src/logs.rs
@@ -28,7 +28,6 @@
 /// Starts to write events to standard output through a queue of bounded length:
 /// nothing ever waits for the reader. Lines beyond it are dropped, and counted.
 /// The queue is emptied when the guard is dropped.
-#[must_use]
 pub fn start_bounded(level: &str) -> tracing_appender::non_blocking::WorkerGuard {
     let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .lossy(true)
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -1,4 +1,8 @@
-//! One sending of a request to one backend server.
+//! Sending a request to backend servers, one after the other, until one runs it.
+//!
+//! Another server is tried only while it is certain that none has run the
+//! request. Whether to try again after that is the caller of [`dispatch`]'s to
+//! decide.
 
 use std::time::Duration;
 
@@ -8,10 +12,13 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use gradedyke_turns::record::Id;
+
 use super::Entry;
 use super::call::Call;
+use super::refusal::Refusal;
 use crate::dialect::{Answer, Outbound};
-use crate::fleet::{Choice, Question};
+use crate::fleet::{Choice, Key, Question};
 use crate::link::{self, Link};
 
 /// Least time left with which a request is sent: below it a server could not
@@ -30,24 +37,89 @@
     pub answer: Answer,
 }
 
-/// How an attempt ended.
-pub enum Outcome {
-    /// The server answers.
+/// Why a request certainly did not run at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unrun {
+    /// No connection.
+    Unreachable,
+    /// The server says so.
+    Refused,
+    /// Another server has the address.
+    Misdirected,
+    /// No time was left to send it.
+    NoTime,
+}
+
+/// How one sending ended.
+enum Outcome {
     Answered(Box<Answered>),
-    /// The request certainly did not run there.
-    NotRun(&'static str),
+    NotRun(Unrun),
     /// It may have run.
-    Unknown(&'static str),
+    Unknown,
     /// Its time is over; it may have run.
     TimedOut,
 }
 
+/// Servers that may be out of reach before the caller is told to come back,
+/// besides those the route allows to be sent to.
+const UNREACHED: u32 = 3;
+
+/// The servers that a request has been at.
+#[derive(Debug, Default)]
+pub struct Trail {
+    tried: Vec<Key>,
+    sent: u32,
+    unreached: u32,
+}
+
+impl Trail {
+    /// Whether another server may be tried.
+    pub fn open(&self, call: &Call) -> bool {
+        self.sent < call.route.attempts && self.unreached < UNREACHED
+    }
+}
+
+/// Sends the request to one server after the other until one takes it.
+/// `question` is what the fleet is asked each time.
+///
+/// # Errors
+///
+/// [`Refusal::Broken`] or [`Refusal::TimedOut`] when it may have run; otherwise
+/// it has not.
+pub async fn dispatch(
+    entry: &Entry,
+    call: &Call,
+    trail: &mut Trail,
+    question: &Question<'_>,
+    body: &Bytes,
+) -> Result<Answered, Refusal> {
+    while trail.open(call) {
+        let choice = choose(entry, call, trail, question).ok_or(Refusal::NoServer)?;
+        trail.tried.push(choice.key);
+        match send(entry, call, choice, body.clone()).await {
+            Outcome::Answered(answered) => {
+                trail.sent += 1;
+                return Ok(*answered);
+            }
+            Outcome::NotRun(Unrun::NoTime) => return Err(Refusal::TooLate),
+            Outcome::NotRun(Unrun::Unreachable) => trail.unreached += 1,
+            Outcome::NotRun(Unrun::Refused | Unrun::Misdirected) => trail.sent += 1,
+            Outcome::Unknown => {
+                trail.sent += 1;
+                return Err(Refusal::Broken);
+            }
+            Outcome::TimedOut => return Err(Refusal::TimedOut),
+        }
+    }
+    Err(Refusal::Full)
+}
+
 /// Sends the request to a chosen server and waits for the head of the answer.
-pub async fn send(entry: &Entry, call: &Call, choice: Choice, body: Bytes) -> Outcome {
+async fn send(entry: &Entry, call: &Call, choice: Choice, body: Bytes) -> Outcome {
     let now = Instant::now();
     let left = call.left(now);
     if left < LEAST {
-        return Outcome::NotRun("no time left");
+        return Outcome::NotRun(Unrun::NoTime);
     }
     let outbound = Outbound {
         server: &choice.id,
@@ -77,11 +149,11 @@
     match error {
         link::Error::NotSent(..) => {
             entry.fleet.failed(choice.key, "unreachable", now);
-            Outcome::NotRun("unreachable")
+            Outcome::NotRun(Unrun::Unreachable)
         }
         link::Error::Broken(..) => {
             entry.fleet.failed(choice.key, "broke off", now);
-            Outcome::Unknown("broke off")
+            Outcome::Unknown
         }
     }
 }
@@ -97,17 +169,17 @@
     let answer = entry.dialect.answer(response.status(), response.headers());
     if answer.misdirected {
         entry.fleet.misdirected(choice.key);
-        return Outcome::NotRun("another server has the address");
+        return Outcome::NotRun(Unrun::Misdirected);
     }
     // A surplus answer to an earlier request stands where ours is due. Ours
     // would come after it, but a connection that is out of step is not trusted.
     if answer.request.as_ref() != Some(&call.id) {
         tracing::info!(event = "answer_of_another", request = %call.id, server = %choice.id);
-        return Outcome::Unknown("answered another request");
+        return Outcome::Unknown;
     }
     if answer.not_run {
         choice.pool.rest(link, answer.idle, Instant::now());
-        return Outcome::NotRun("refused");
+        return Outcome::NotRun(Unrun::Refused);
     }
     entry.fleet.answered(choice.key, sent.elapsed());
     Outcome::Answered(Box::new(Answered {
@@ -119,16 +191,20 @@
 }
 
 /// Chooses a server for the request, with a line that says what decided.
-pub fn choose(entry: &Entry, call: &Call, question: &Question<'_>, number: u32) -> Option<Choice> {
-    let choice = entry.fleet.choose(question);
-    let age = entry.mirror.age(question.now);
-    tracing::info!(event = "placed", request = %call.id, attempt = number,
+fn choose(entry: &Entry, call: &Call, trail: &Trail, question: &Question<'_>) -> Option<Choice> {
+    let now = Instant::now();
+    let asked = Question {
+        tried: &trail.tried,
+        now,
+        ..question.clone()
+    };
+    let choice = entry.fleet.choose(&asked);
+    let age = entry.mirror.age(now);
+    tracing::info!(event = "placed", request = %call.id, attempt = trail.tried.len() + 1,
         server = choice.as_ref().map_or("none", |c| c.id.as_str()),
         holder = question.holder.map_or("none", Id::as_str),
         route = call.route.name, config = call.config.version,
         directory_age_ms = age.map(|a| a.as_millis()),
-        left_ms = call.left(question.now).as_millis());
+        left_ms = call.left(now).as_millis());
     choice
 }
-
-use gradedyke_turns::record::Id;
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::Entry;
-use super::attempt::{self, Answered, Outcome};
+use super::attempt::{self, Answered, Trail};
 use super::call::Call;
 use super::refusal::Refusal;
 use crate::config::Kind;
@@ -19,61 +19,45 @@
 
 /// Largest answer that is read, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
-/// Servers that may refuse a request without running it before the caller is
-/// told to come back, besides those the route allows to be sent to.
-const UNSENT: u32 = 3;
-
 /// Serves the request.
+///
+/// # Errors
+///
+/// The [`Refusal`] to answer with.
 pub async fn serve(entry: &Entry, call: &Call) -> Result<Response<Body>, Refusal> {
-    let mut tried = Vec::new();
+    let question = Question {
+        service: &call.service,
+        request: &call.id,
+        tried: &[],
+        holder: None,
+        prompt_tokens: 0,
+        held_tokens: 0,
+        object: call.meta.object.as_ref().filter(|_| call.route.sticky),
+        engine: false,
+        now: call.arrived,
+    };
+    let mut trail = Trail::default();
     let mut may_have_run = false;
-    let mut sent = 0;
-    let mut unsent = 0;
-    while sent < call.route.attempts && unsent < UNSENT {
-        let question = Question {
-            service: &call.service,
-            request: &call.id,
-            tried: &tried,
-            holder: None,
-            prompt_tokens: 0,
-            held_tokens: 0,
-            object: call.meta.object.as_ref().filter(|_| call.route.sticky),
-            engine: false,
-            now: Instant::now(),
-        };
-        let Some(choice) = attempt::choose(entry, call, &question, sent + 1) else {
-            return Err(ended(may_have_run, Refusal::NoServer));
-        };
-        tried.push(choice.key);
-        match attempt::send(entry, call, choice, call.body.clone()).await {
-            Outcome::Answered(answered) => match read(entry, call, *answered).await {
-                Some(response) => return Ok(response),
-                None => {
-                    may_have_run = true;
-                    sent += 1;
+    while trail.open(call) {
+        match attempt::dispatch(entry, call, &mut trail, &question, &call.body).await {
+            Ok(answered) => {
+                if let Some(response) = read(entry, call, answered).await {
+                    return Ok(response);
                 }
-            },
-            Outcome::NotRun("unreachable") => unsent += 1,
-            Outcome::NotRun(_) => sent += 1,
-            Outcome::Unknown(_) => {
-                may_have_run = true;
-                sent += 1;
             }
-            Outcome::TimedOut => return Err(Refusal::TimedOut),
+            Err(Refusal::Broken) => {}
+            Err(refusal) if may_have_run => {
+                tracing::info!(event = "not_repeated", request = %call.id, why = refusal.name());
+                return Err(Refusal::Broken);
+            }
+            Err(refusal) => return Err(refusal),
         }
-        if may_have_run && call.route.kind != Kind::Idempotent {
-            return Err(Refusal::Broken);
+        may_have_run = true;
+        if call.route.kind != Kind::Idempotent {
+            break;
         }
     }
-    Err(ended(may_have_run, Refusal::Full))
-}
-
-fn ended(may_have_run: bool, otherwise: Refusal) -> Refusal {
-    if may_have_run {
-        Refusal::Broken
-    } else {
-        otherwise
-    }
+    Err(Refusal::Broken)
 }
 
 /// Reads the answer's body; `None` when it breaks off.
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::Entry;
-use super::attempt::{self, Answered, Outcome};
+use super::attempt::{self, Trail};
 use super::call::Call;
 use super::refusal::Refusal;
 use crate::event::Splitter;
@@ -38,18 +38,22 @@
 const SETTLE: Duration = Duration::from_secs(5);
 /// How long a budget's attempts are kept on routes that keep no turns.
 const BUDGET: Duration = Duration::from_secs(60);
-/// Servers that may refuse without running before the caller is told to come
-/// back, besides those the route allows to be sent to.
-const UNSENT: u32 = 3;
 
 /// Serves the request.
+///
+/// # Errors
+///
+/// The [`Refusal`] to answer with, before anything of an answer.
 pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
     let (chain, ledger) = begin(entry, &call).await?;
     let body = match &chain {
         Some(chain) => join(&chain.body, &call.body),
         None => call.body.clone(),
     };
-    let answered = match dispatch(entry, &call, chain.as_ref(), body).await {
+    let question = question(&call, chain.as_ref());
+    let mut trail = Trail::default();
+    let dispatched = attempt::dispatch(entry, &call, &mut trail, &question, &body);
+    let answered = match dispatched.await {
         Ok(answered) => answered,
         Err(refusal) => {
             // Nothing of the answer has reached the caller.
@@ -167,49 +171,19 @@
     Some((reserved, budget))
 }
 
-/// Sends the request to one server after the other until one takes it.
-async fn dispatch(
-    entry: &Entry,
-    call: &Call,
-    chain: Option<&Chain>,
-    body: Bytes,
-) -> Result<Answered, Refusal> {
-    let mut tried = Vec::new();
-    let (mut sent, mut unsent) = (0, 0);
-    while sent < call.route.attempts && unsent < UNSENT {
-        let question = question(call, chain, &tried);
-        let Some(choice) = attempt::choose(entry, call, &question, sent + 1) else {
-            return Err(Refusal::NoServer);
-        };
-        tried.push(choice.key);
-        match attempt::send(entry, call, choice, body.clone()).await {
-            Outcome::Answered(answered) => return Ok(*answered),
-            Outcome::NotRun("unreachable") => unsent += 1,
-            Outcome::NotRun("no time left") => return Err(Refusal::TooLate),
-            Outcome::NotRun(_) => sent += 1,
-            Outcome::Unknown(_) => return Err(Refusal::Broken),
-            Outcome::TimedOut => return Err(Refusal::TimedOut),
-        }
-    }
-    Err(Refusal::Full)
-}
-
-fn question<'a>(
-    call: &'a Call,
-    chain: Option<&'a Chain>,
-    tried: &'a [crate::fleet::Key],
-) -> Question<'a> {
+/// What the fleet is asked for a server for the request.
+fn question<'a>(call: &'a Call, chain: Option<&'a Chain>) -> Question<'a> {
     Question {
         service: &call.service,
         request: &call.id,
-        tried,
+        tried: &[],
         holder: chain.map(|c| &c.server),
         prompt_tokens: call.meta.usage.map_or(0, |u| u.prompt),
         // A byte is a token or less, so this is not too much by far.
         held_tokens: chain.map_or(0, |c| c.body.len() as u64),
         object: call.meta.object.as_ref(),
         engine: true,
-        now: Instant::now(),
+        now: call.arrived,
     }
 }
 
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -57,6 +57,18 @@
     tasks: JoinSet<()>,
     entry: Option<Arc<Entry>>,
     settings: Arc<ArcSwap<Settings>>,
+    addresses: Addresses,
+}
+
+/// Where a process listens, with the ports that were given for port 0.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: Option<SocketAddr>,
+    /// For the question whether callers may come.
+    pub ready: Option<SocketAddr>,
+    /// For other processes.
+    pub peer: Option<SocketAddr>,
 }
 
 fn required<T>(value: Option<T>, what: &str) -> eyre::Result<T> {
@@ -98,6 +110,7 @@
             tasks,
             entry,
             settings: Arc::new(ArcSwap::from_pointee(settings)),
+            addresses: Addresses::default(),
         }
     }
 
@@ -139,8 +152,10 @@
             ..Config::default()
         };
         let door = bind(caller, config.clone(), "listen.caller").await?;
+        process.addresses.caller = Some(door.address()?);
         tasks.spawn(door.serve(Arc::new(Door(entry.clone())), stop.clone()));
         let question = bind(ready, config, "listen.ready").await?;
+        process.addresses.ready = Some(question.address()?);
         tasks.spawn(question.serve(Arc::new(Readiness(entry)), stop));
         process.started("entry");
         Ok(process)
@@ -157,6 +172,11 @@
         let folder = required(settings.data_folder.clone(), "data_folder")?;
         let stop = CancellationToken::new();
         let mirror = Mirror::new(&prefixes(&*world.dialect));
+        let listener = TcpListener::bind(peer).await;
+        let listener = listener.wrap_err_with(|| {
+            format!("cannot listen on {peer}; free it or change listen.peer")
+        })?;
+        let peer = listener.local_addr()?;
         let replica = Replica::open(&folder, mirror.clone(), stop.clone())?;
         let member = membership::Config {
             name: settings.name.clone(),
@@ -171,9 +191,7 @@
         let membership = Membership::new(member, replica.clone(), world.kv, world.dialect);
         tasks.spawn(membership.run(stop.clone()));
         tasks.spawn(replica.clone().expire());
-        let listener = TcpListener::bind(peer).await;
-        let listener = listener
-            .wrap_err_with(|| format!("cannot listen on {peer}; free it or change listen.peer"))?;
+        process.addresses.peer = Some(peer);
         tasks.spawn(gradedyke_peer::server::serve(listener, replica, stop));
         process.started("keeper");
         Ok(process)
@@ -186,6 +204,22 @@
             seeds = settings.seeds.len(), first_start = settings.first_start);
     }
 
+    /// Where it listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// The entry, if the process runs one.
+    pub fn gateway(&self) -> Option<&Arc<Entry>> {
+        self.entry.as_ref()
+    }
+
+    /// Ends as a killed process does: every connection is cut at once.
+    pub async fn kill(mut self) {
+        self.tasks.shutdown().await;
+        self.stop.cancel();
+    }
+
     /// Puts changed settings in force: where to find others. What is bound at
     /// the start stays until the next one.
     pub fn reload(&self, settings: Settings) {
--- /dev/null
+++ b/crates/gradedyke-turns/tests/log.rs
@@ -0,0 +1,132 @@
+//! What a log keeps through crashes, torn writes and its own segments.
+
+use std::fs::{self, OpenOptions};
+use std::path::Path;
+
+use gradedyke_turns::log::Log;
+use gradedyke_turns::record::{Id, Record, Reserved, Turn};
+
+fn id(text: &str) -> Id {
+    Id::parse(text).unwrap()
+}
+
+fn reserved(request: &str) -> Record {
+    Record::Reserved(Reserved {
+        program: id("p"),
+        request: id(request),
+        tokens: 7,
+        keep_ms: 60_000,
+    })
+}
+
+fn turn(request: &str, bytes: usize) -> Record {
+    Record::Turn(Turn {
+        request: id(request),
+        parent: None,
+        input: vec![b'x'; bytes].into(),
+        output: "out\n".into(),
+        server: id("s"),
+        program: None,
+        tokens: 3,
+        keep_ms: 60_000,
+    })
+}
+
+fn names(folder: &Path) -> Vec<String> {
+    let records = Log::open(folder).unwrap().records;
+    records
+        .iter()
+        .map(|(r, _)| r.key().request.to_string())
+        .collect()
+}
+
+/// The file with the most bytes.
+fn fullest(folder: &Path) -> std::path::PathBuf {
+    let files = fs::read_dir(folder).unwrap().map(|e| e.unwrap().path());
+    files
+        .max_by_key(|p| fs::metadata(p).unwrap().len())
+        .unwrap()
+}
+
+#[tokio::test]
+async fn what_was_appended_is_there_after_a_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    for round in 0..3 {
+        let log = Log::open(folder.path()).unwrap().log;
+        log.append(&reserved(&format!("r{round}"))).await.unwrap();
+        log.append(&turn(&format!("t{round}"), 100)).await.unwrap();
+    }
+    let expected = ["r0", "t0", "r1", "t1", "r2", "t2"];
+    assert_eq!(names(folder.path()), expected);
+}
+
+#[tokio::test]
+async fn a_torn_end_hides_nothing_that_was_synced() {
+    // What a power loss leaves of bytes that were not synced.
+    let torn: [&[u8]; 5] = [
+        &[],
+        &[0; 3],
+        &[0; 64],
+        &[0xff; 64],
+        &[9, 0, 0, 0, 1, 2, 3, 4, 5],
+    ];
+    for end in torn {
+        let folder = tempfile::tempdir().unwrap();
+        let log = Log::open(folder.path()).unwrap().log;
+        log.append(&reserved("a")).await.unwrap();
+        log.append(&turn("b", 10)).await.unwrap();
+        drop(log);
+        let mut bytes = fs::read(fullest(folder.path())).unwrap();
+        bytes.extend_from_slice(end);
+        fs::write(fullest(folder.path()), bytes).unwrap();
+        assert_eq!(names(folder.path()), ["a", "b"], "{end:?}");
+        // What is appended after the torn end is found as well.
+        let log = Log::open(folder.path()).unwrap().log;
+        log.append(&reserved("c")).await.unwrap();
+        drop(log);
+        assert_eq!(names(folder.path()), ["a", "b", "c"], "{end:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_changed_byte_is_never_taken_for_a_record() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = Log::open(folder.path()).unwrap().log;
+    log.append(&turn("a", 50)).await.unwrap();
+    drop(log);
+    let file = fullest(folder.path());
+    let bytes = fs::read(&file).unwrap();
+    for place in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[place] ^= 0x10;
+        fs::write(&file, &changed).unwrap();
+        assert_eq!(names(folder.path()), Vec::<String>::new(), "byte {place}");
+        fs::write(&file, &bytes).unwrap();
+    }
+}
+
+#[tokio::test]
+async fn only_segments_that_are_no_longer_written_are_removed() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = Log::open(folder.path()).unwrap().log;
+    let first = log.append(&turn("a", 9 << 20)).await.unwrap();
+    assert!(!log.remove(first));
+    let second = log.append(&turn("b", 10)).await.unwrap();
+    assert!(second > first);
+    assert!(log.remove(first));
+    drop(log);
+    assert_eq!(names(folder.path()), ["b"]);
+}
+
+#[tokio::test]
+async fn a_folder_that_cannot_be_used_is_an_error_with_a_remedy() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("file");
+    OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&file)
+        .unwrap();
+    let error = Log::open(&file).err().unwrap().to_string();
+    assert!(error.contains("check that it exists"), "{error}");
+}
