--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -173,9 +173,8 @@
         let stop = CancellationToken::new();
         let mirror = Mirror::new(&prefixes(&*world.dialect));
         let listener = TcpListener::bind(peer).await;
-        let listener = listener.wrap_err_with(|| {
-            format!("cannot listen on {peer}; free it or change listen.peer")
-        })?;
+        let listener = listener
+            .wrap_err_with(|| format!("cannot listen on {peer}; free it or change listen.peer"))?;
         let peer = listener.local_addr()?;
         let replica = Replica::open(&folder, mirror.clone(), stop.clone())?;
         let member = membership::Config {
--- a/crates/gradedyke-turns/tests/membership.rs
+++ b/crates/gradedyke-turns/tests/membership.rs
@@ -101,26 +101,85 @@
     let pair = [("a", 1, true), ("b", 2, true), ("me", ME, false)];
     let cases: &[(&str, bool, &[_], &[_], Option<&str>)] = &[
         ("the first of all", true, &[], &[], Some("me")),
-        ("the second of a first start", true, &full[..1], &[], Some("a me")),
-        ("a first start that others have served already", true, &full[..2], &[], Some("a b me?")),
+        (
+            "the second of a first start",
+            true,
+            &full[..1],
+            &[],
+            Some("a me"),
+        ),
+        (
+            "a first start that others have served already",
+            true,
+            &full[..2],
+            &[],
+            Some("a b me?"),
+        ),
         ("an empty disk later", false, &full[..1], &[], Some("a me?")),
         ("a fourth", false, &full, &[], Some("a b c me?")),
-        ("the same instance with another disk", false,
-            &[("a", 1, true), ("b", 2, true), ("me", 4, true)], &[], Some("a b me?")),
-        ("all level", false, &joining,
-            &[(1, Level(5)), (2, Level(5)), (3, Level(5))], Some("a b c me")),
-        ("one level only under an old view", false, &joining,
-            &[(1, Level(5)), (2, Level(4)), (3, Level(5))], None),
-        ("one behind", false, &joining,
-            &[(1, Level(5)), (2, Behind), (3, Level(5))], None),
-        ("one lost just now", false, &joining,
-            &[(1, Level(5)), (2, Level(5)), (3, Lost(500))], None),
-        ("one gone", false, &joining,
-            &[(1, Level(5)), (2, Level(5)), (3, Lost(5_000))], Some("a b me")),
-        ("two gone: a record may be on just these", false, &joining,
-            &[(1, Level(5)), (2, Lost(5_000)), (3, Lost(5_000))], None),
-        ("one of two gone", false, &pair, &[(1, Level(5)), (2, Lost(5_000))], Some("a me")),
-        ("both of two gone", false, &pair, &[(1, Lost(5_000)), (2, Lost(5_000))], None),
+        (
+            "the same instance with another disk",
+            false,
+            &[("a", 1, true), ("b", 2, true), ("me", 4, true)],
+            &[],
+            Some("a b me?"),
+        ),
+        (
+            "all level",
+            false,
+            &joining,
+            &[(1, Level(5)), (2, Level(5)), (3, Level(5))],
+            Some("a b c me"),
+        ),
+        (
+            "one level only under an old view",
+            false,
+            &joining,
+            &[(1, Level(5)), (2, Level(4)), (3, Level(5))],
+            None,
+        ),
+        (
+            "one behind",
+            false,
+            &joining,
+            &[(1, Level(5)), (2, Behind), (3, Level(5))],
+            None,
+        ),
+        (
+            "one lost just now",
+            false,
+            &joining,
+            &[(1, Level(5)), (2, Level(5)), (3, Lost(500))],
+            None,
+        ),
+        (
+            "one gone",
+            false,
+            &joining,
+            &[(1, Level(5)), (2, Level(5)), (3, Lost(5_000))],
+            Some("a b me"),
+        ),
+        (
+            "two gone: a record may be on just these",
+            false,
+            &joining,
+            &[(1, Level(5)), (2, Lost(5_000)), (3, Lost(5_000))],
+            None,
+        ),
+        (
+            "one of two gone",
+            false,
+            &pair,
+            &[(1, Level(5)), (2, Lost(5_000))],
+            Some("a me"),
+        ),
+        (
+            "both of two gone",
+            false,
+            &pair,
+            &[(1, Lost(5_000)), (2, Lost(5_000))],
+            None,
+        ),
     ];
     for (name, first_start, members, looks, expected) in cases {
         let next = decided(*first_start, members, looks, false, false);
@@ -147,10 +206,20 @@
 #[test]
 fn one_that_is_lost_for_long_is_dropped_where_enough_remain() {
     use Look::{Level, Lost};
-    let four = [("a", 1, true), ("b", 2, true), ("c", 3, true), ("me", ME, true)];
+    let four = [
+        ("a", 1, true),
+        ("b", 2, true),
+        ("c", 3, true),
+        ("me", ME, true),
+    ];
     let three = [("a", 1, true), ("b", 2, true), ("me", ME, true)];
     let cases: &[(&str, &[_], &[_], Option<&str>)] = &[
-        ("all there", &four, &[(1, Level(5)), (2, Level(5)), (3, Level(5))], None),
+        (
+            "all there",
+            &four,
+            &[(1, Level(5)), (2, Level(5)), (3, Level(5))],
+            None,
+        ),
         ("lost for a while", &four, &[(3, Lost(3_000))], None),
         ("lost for long", &four, &[(3, Lost(20_000))], Some("a b me")),
         ("no more than needed", &three, &[(2, Lost(20_000))], None),
@@ -169,7 +238,15 @@
         (&[("a", 1, true), ("b", 2, true)], 2),
         (&[("a", 1, true), ("b", 2, true), ("c", 3, false)], 2),
         (&[("a", 1, true), ("b", 2, true), ("c", 3, true)], 2),
-        (&[("a", 1, true), ("b", 2, true), ("c", 3, true), ("d", 4, true)], 3),
+        (
+            &[
+                ("a", 1, true),
+                ("b", 2, true),
+                ("c", 3, true),
+                ("d", 4, true),
+            ],
+            3,
+        ),
     ];
     for (members, expected) in cases {
         assert_eq!(view(members).quorum(), *expected, "{members:?}");
