Two keepers watch the platform for all; spares; connections that rest are preferred

Ruled out: a lease for a watcher; the first two members of the view will do, and whoever gets no news asks the service itself.

Change: keepers beyond the first two take their news from these; changes gather for 100 ms; a starting entry waits 2 s for its feed; no more keepers take part than the losses tolerated need; a server with a resting connection costs 15 ms less, and requests that may be repeated use connections up to 4 s old.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -17,6 +17,7 @@
 use super::Entry;
 use super::call::Call;
 use super::refusal::Refusal;
+use crate::config::Kind;
 use crate::dialect::{Answer, Outbound};
 use crate::fleet::{Choice, Key, Question};
 use crate::link::{self, Link};
@@ -130,7 +131,8 @@
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = entry.dialect.outbound(&call.headers, &outbound);
-    let sending = choice.pool.send(request, now);
+    let repeatable = call.route.kind == Kind::Idempotent;
+    let sending = choice.pool.send(request, repeatable, now);
     let sent = tokio::time::timeout_at(call.until, sending).await;
     let (response, link) = match sent {
         Ok(Ok(sent)) => sent,
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -183,6 +183,7 @@
         held_tokens: chain.map_or(0, |c| c.body.len() as u64),
         object: call.meta.object.as_ref(),
         engine: true,
+        repeatable: false,
         now: call.arrived,
     }
 }
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -100,6 +100,8 @@
     pub object: Option<&'a Id>,
     /// Whether the service runs models.
     pub engine: bool,
+    /// Whether the request may be repeated.
+    pub repeatable: bool,
     /// The present time.
     pub now: Instant,
 }
@@ -230,6 +232,7 @@
             unread_tokens: unread,
             engine: question.engine,
             familiar,
+            warm: known.pool.warm(question.repeatable, question.now),
             cold: known.cold_until > question.now,
             slowness,
             draw: draw(question.request, &known.server.id),
--- a/crates/gradedyke-gateway/src/link.rs
+++ b/crates/gradedyke-gateway/src/link.rs
@@ -5,7 +5,7 @@
 //! request, says for certain that it did not.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,9 +21,13 @@
 /// lost opening packet is sent again after a second, and another server is
 /// better than waiting for that.
 const CONNECT: Duration = Duration::from_millis(300);
-/// Longest rest of a connection whose server does not say how long it may be.
-/// Servers in use close theirs after 1.5 s and more.
+/// Longest rest of a connection that is used for a request which must not run
+/// twice. Servers in use close theirs after 1.5 s and more, and a request that
+/// meets the closing may have run.
 const REST: Duration = Duration::from_millis(900);
+/// The same for a request that may be repeated. Longer than nearly all rests
+/// that servers allow, for their closing is seen.
+const REST_REPEATABLE: Duration = Duration::from_millis(4_000);
 /// How long before the end of the rest that a server allows a connection is no
 /// longer used: the way there, with a slow moment of either side.
 const REST_MARGIN: Duration = Duration::from_millis(300);
@@ -46,7 +50,16 @@
 
 struct Resting {
     sender: SendRequest<Body>,
-    until: Instant,
+    since: Instant,
+    /// How long the server lets it rest.
+    idle: Duration,
+}
+
+impl Resting {
+    fn usable(&self, repeatable: bool, now: Instant) -> bool {
+        let rest = if repeatable { REST_REPEATABLE } else { REST };
+        now.saturating_duration_since(self.since) < rest.min(self.idle)
+    }
 }
 
 /// The connections to one server.
@@ -77,10 +90,24 @@
         self.address
     }
 
-    fn take(&self, now: Instant) -> Option<Link> {
+    fn resting(&self, now: Instant) -> MutexGuard<'_, Vec<Resting>> {
         let mut resting = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
-        resting.retain(|r| r.until > now && !r.sender.is_closed());
-        let place = resting.iter().rposition(|r| r.sender.is_ready())?;
+        resting.retain(|r| r.usable(true, now) && !r.sender.is_closed());
+        resting
+    }
+
+    /// Whether a connection rests that a request could use.
+    pub fn warm(&self, repeatable: bool, now: Instant) -> bool {
+        let resting = self.resting(now);
+        resting
+            .iter()
+            .any(|r| r.usable(repeatable, now) && r.sender.is_ready())
+    }
+
+    fn take(&self, repeatable: bool, now: Instant) -> Option<Link> {
+        let mut resting = self.resting(now);
+        let usable = |r: &Resting| r.usable(repeatable, now) && r.sender.is_ready();
+        let place = resting.iter().rposition(usable)?;
         let sender = resting.swap_remove(place).sender;
         Some(Link { sender, used: true })
     }
@@ -111,7 +138,8 @@
     }
 
     /// Sends a request on a resting connection or a new one, and waits for the
-    /// head of the answer.
+    /// head of the answer. Whether it is `repeatable` decides how long a
+    /// connection may have rested.
     ///
     /// # Errors
     ///
@@ -119,9 +147,10 @@
     pub async fn send(
         &self,
         mut request: Request<Body>,
+        repeatable: bool,
         now: Instant,
     ) -> Result<(Response<Incoming>, Link), Error> {
-        if let Some(mut link) = self.take(now) {
+        if let Some(mut link) = self.take(repeatable, now) {
             match link.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, link)),
                 Err(mut failed) => match failed.take_message() {
@@ -151,19 +180,22 @@
     /// Keeps a connection for the next request, after an answer that was read
     /// to its end. `idle` is how long the server lets it rest.
     pub fn rest(&self, link: Link, idle: Option<Duration>, now: Instant) {
-        let rest = idle.map_or(REST, |i| i.saturating_sub(REST_MARGIN).min(REST));
-        let mut resting = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = idle.map_or(REST_REPEATABLE, |i| i.saturating_sub(REST_MARGIN));
+        let mut resting = self.resting(now);
         if resting.len() < RESTING && !link.sender.is_closed() {
             resting.push(Resting {
                 sender: link.sender,
-                until: now + rest,
+                since: now,
+                idle,
             });
         }
     }
 
     /// Closes all connections that rest.
     pub fn clear(&self) {
-        let mut resting = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
-        resting.clear();
+        self.resting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
     }
 }
--- a/crates/gradedyke-gateway/src/placement.rs
+++ b/crates/gradedyke-gateway/src/placement.rs
@@ -22,6 +22,8 @@
     pub engine: bool,
     /// Whether it has lately seen the object of the request.
     pub familiar: bool,
+    /// Whether a connection to it rests that the request could use.
+    pub warm: bool,
     /// Whether it is slow still, because it has just started.
     pub cold: bool,
     /// How long its answers take, relative to those of its service as a whole.
@@ -82,6 +84,9 @@
 const COLD_MS: f64 = 100.0;
 /// What it saves that a server has lately seen the object.
 const FAMILIAR_MS: f64 = 30.0;
+/// What a resting connection saves: opening one, and its price. A tenth of the
+/// work of a call at a plain service, so that it never outweighs a queue.
+const WARM_MS: f64 = 15.0;
 /// Usual time of a request at a server, which its slowness multiplies.
 const USUAL_MS: f64 = 100.0;
 
@@ -98,9 +103,10 @@
         let far = if candidate.near { 0.0 } else { FAR_MS };
         let cold = if candidate.cold { COLD_MS } else { 0.0 };
         let familiar = if candidate.familiar { FAMILIAR_MS } else { 0.0 };
+        let warm = if candidate.warm { WARM_MS } else { 0.0 };
         let slow = (candidate.slowness - 1.0).max(0.0) * USUAL_MS;
         let read = candidate.unread_tokens as f64 / READ_PER_MS;
-        read + waiting + taken * beside + far + cold + slow - familiar
+        read + waiting + taken * beside + far + cold + slow - familiar - warm
     }
 }
 
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -184,9 +184,27 @@
             first_start: settings.first_start,
             tolerate: settings.tolerate,
         };
+        let data_centre = settings.data_centre.clone();
         let mut process = Self::new(settings, None, stop.clone());
         let tasks = &mut process.tasks;
-        follow(tasks, &mirror, &world.kv, || true, &stop);
+        let health = Arc::new(feed::Health::new(Instant::now()));
+        let quorum = Quorum::new(mirror.clone(), &data_centre);
+        let disk = replica.disk();
+        let (others, own) = (quorum.clone(), peer);
+        let sources = move || {
+            let watchers = others.view();
+            let addresses = watchers.watchers().map(|m| m.address);
+            addresses.filter(|a| *a != own).collect()
+        };
+        tasks.spawn(feed::run(
+            mirror.clone(),
+            quorum.clone(),
+            health.clone(),
+            sources,
+            stop.clone(),
+        ));
+        let wanted = move || quorum.view().watches(disk) || health.alone(Instant::now());
+        follow(tasks, &mirror, &world.kv, wanted, &stop);
         let membership = Membership::new(member, replica.clone(), world.kv, world.dialect);
         tasks.spawn(membership.run(stop.clone()));
         tasks.spawn(replica.clone().expire());
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -13,20 +13,24 @@
 use crate::quorum::Quorum;
 
 /// How long a replica may wait for news before it answers without.
-const WAIT: Duration = Duration::from_millis(500);
+const WAIT: Duration = Duration::from_millis(300);
 /// Longest time for a call: the wait and the way.
-const CALL: Duration = Duration::from_millis(900);
+const CALL: Duration = Duration::from_millis(700);
 /// Wait before the next source is tried.
 const RETRY: Duration = Duration::from_millis(50);
 /// Age of a copy above which another source, or the service itself, is asked.
-/// Watches of the service answer at least every 0.8 s, and what a caller may
-/// expect of a change of configuration is 2 s.
+/// Watches of the service answer at least every 0.7 s, news come two hops of
+/// 0.3 s at most, and a change of configuration may take 2 s.
 pub const STALE: Duration = Duration::from_millis(1_300);
 
 /// Time without news from a fresh copy after which the service itself is asked:
 /// a wait, and a change of the source.
 const ALONE: Duration = Duration::from_millis(700);
 
+/// Time that a feed has at the start of a process, when all others may be
+/// starting too: what a keeper takes to start and to read the service.
+const START: Duration = Duration::from_secs(2);
+
 /// Whether the feed brings fresh news.
 #[derive(Debug)]
 pub struct Health(Mutex<Instant>);
@@ -34,7 +38,7 @@
 impl Health {
     /// The health of a feed that starts at `now`, as if it had just had news.
     pub fn new(now: Instant) -> Self {
-        Self(Mutex::new(now))
+        Self(Mutex::new(now + START))
     }
 
     /// Whether the service has to be asked instead.
@@ -46,7 +50,7 @@
     /// let now = Instant::now();
     /// let health = gradedyke_turns::feed::Health::new(now);
     /// assert!(!health.alone(now));
-    /// assert!(health.alone(now + Duration::from_secs(1)));
+    /// assert!(health.alone(now + Duration::from_secs(4)));
     /// ```
     pub fn alone(&self, now: Instant) -> bool {
         let fresh = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gradedyke-turns/src/membership.rs
+++ b/crates/gradedyke-turns/src/membership.rs
@@ -3,13 +3,15 @@
 //! Each replica changes the view only for itself: it enters as one that does
 //! not count yet, takes in all that the others have, and then counts; at that
 //! moment it drops those that are gone for good. There is no leader among the
-//! replicas, and compare-and-swap orders their changes.
+//! replicas, and compare-and-swap orders their changes. No more than are needed
+//! to bear the losses tolerated take part, because each costs a copy; the rest
+//! are spares that enter when a place becomes vacant.
 //!
 //! Why dropping is safe: a record is on a majority. A replica counts only after
 //! it has followed so many that every majority has one of them, at a time when
 //! they already refuse requests of the view before.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,13 +33,16 @@
 /// The same where nobody waits for the place, and only the majority is to
 /// become smaller again.
 const SURPLUS: Duration = Duration::from_secs(8);
+/// How long a replica that is to be emptied waits for a spare to take its place:
+/// the spare's look, its copying, and its counting.
+const SPARE: Duration = Duration::from_millis(2_500);
 /// How often the view is looked at when nothing changed.
 const LOOK: Duration = Duration::from_millis(200);
 
 /// Requests of operators to empty an instance, as the platform words them.
 pub trait Removal: Send + Sync {
-    /// Whether the instance `name` is to be emptied.
-    fn requested(&self, mirror: &Mirror, name: &str) -> bool;
+    /// The names of the instances that are to be emptied.
+    fn requested(&self, mirror: &Mirror) -> HashSet<String>;
     /// The key and value that tell how far that is.
     fn status(&self, name: &str, done: bool) -> (String, Vec<u8>);
 }
@@ -67,22 +72,49 @@
     pub disk: Disk,
     /// How far it has followed the others.
     pub progress: &'a HashMap<Disk, Progress>,
-    /// Whether it is to be emptied.
-    pub leave: bool,
+    /// Since when it is to be emptied.
+    pub leave: Option<Instant>,
+    /// Names of all instances that are to be emptied.
+    pub leaving: &'a HashSet<String>,
     /// Whether all others that count have followed all that it has.
     pub followed: bool,
 }
 
+impl Sight<'_> {
+    /// Whether a member has been out of reach for `time`.
+    fn lost(&self, member: &Member, time: Duration, now: Instant) -> bool {
+        let progress = self.progress.get(&member.disk);
+        let lost = progress.and_then(|p| p.lost);
+        lost.is_some_and(|at| now - at >= time)
+    }
+
+    /// Whether fewer take part than are needed to bear the losses tolerated.
+    fn vacant(&self, now: Instant) -> bool {
+        let stays = |m: &&Member| !self.lost(m, GONE, now) && !self.leaving.contains(&m.name);
+        let present = self.view.members.iter().filter(stays).count();
+        present < wanted(self.view)
+    }
+}
+
+/// How many take part: the fewest whose majority survives the losses tolerated.
+fn wanted(view: &View) -> usize {
+    2 * view.tolerate + 1
+}
+
 /// The view that a replica should propose, if any.
 pub fn decide(config: &Config, sight: &Sight<'_>, now: Instant) -> Option<View> {
     let view = sight.view;
-    match view.find(sight.disk) {
-        None if sight.leave => None,
-        None => Some(enter(config, sight)),
-        Some(_) if sight.leave => leave(sight),
-        Some(me) if me.address != config.address => Some(moved(config, sight)),
-        Some(me) if me.active => drop_surplus(sight, now),
-        Some(_) => activate(sight, now),
+    match (view.find(sight.disk), sight.leave) {
+        (None, Some(_)) => None,
+        (None, None) => {
+            let again = view.members.iter().any(|m| m.name == config.name);
+            let enters = again || view.version == 0 || sight.vacant(now);
+            enters.then(|| enter(config, sight))
+        }
+        (Some(_), Some(since)) => leave(sight, since, now),
+        (Some(me), None) if me.address != config.address => Some(moved(config, sight)),
+        (Some(me), None) if me.active => drop_surplus(sight, now),
+        (Some(_), None) => activate(sight, now),
     }
 }
 
@@ -115,11 +147,13 @@
     sight.view.next(members)
 }
 
-/// Leaves once the others have everything and are enough.
-fn leave(sight: &Sight<'_>) -> Option<View> {
+/// Leaves once the others have everything and are enough. A spare that could
+/// take the place is waited for.
+fn leave(sight: &Sight<'_>, since: Instant, now: Instant) -> Option<View> {
     let view = sight.view;
     let others = view.active().filter(|m| m.disk != sight.disk).count();
-    if !sight.followed || others <= view.tolerate {
+    let spared = others >= wanted(view) || now - since >= SPARE;
+    if !sight.followed || others <= view.tolerate || !spared {
         return None;
     }
     let mut members = view.members.clone();
@@ -158,16 +192,10 @@
 /// Drops one that has been out of reach for long, where enough others remain.
 fn drop_surplus(sight: &Sight<'_>, now: Instant) -> Option<View> {
     let view = sight.view;
-    let wanted = 2 * view.tolerate + 1;
-    if view.active().count() <= wanted {
+    if view.active().count() <= wanted(view) {
         return None;
     }
-    let lost = |m: &&Member| {
-        let progress = sight.progress.get(&m.disk);
-        let lost = progress.and_then(|p| p.lost);
-        lost.is_some_and(|at| now - at >= SURPLUS)
-    };
-    let gone = view.active().find(lost)?.disk;
+    let gone = view.active().find(|m| sight.lost(m, SURPLUS, now))?.disk;
     let mut members = view.members.clone();
     members.retain(|m| m.disk != gone);
     Some(view.next(members))
@@ -182,6 +210,8 @@
     followers: HashMap<(Disk, SocketAddr), Followed>,
     tasks: JoinSet<()>,
     told: Option<bool>,
+    /// Since when this replica is to be emptied.
+    leave: Option<Instant>,
 }
 
 struct Followed {
@@ -205,6 +235,7 @@
             followers: HashMap::new(),
             tasks: JoinSet::new(),
             told: None,
+            leave: None,
         }
     }
 
@@ -230,16 +261,20 @@
         let (view, revision) = read(&mirror).unwrap_or_default();
         self.replica.learn(&view);
         self.follow(&view);
-        let leave = self.removal.requested(&mirror, &self.config.name);
+        let leaving = self.removal.requested(&mirror);
+        let now = Instant::now();
+        let leave = leaving.contains(&self.config.name);
+        self.leave = leave.then(|| self.leave.unwrap_or(now));
         let progress = self.progress();
         let sight = Sight {
             view: &view,
             disk: self.replica.disk(),
             progress: &progress,
-            leave,
+            leave: self.leave,
+            leaving: &leaving,
             followed: self.followed(&view),
         };
-        let proposal = decide(&self.config, &sight, Instant::now());
+        let proposal = decide(&self.config, &sight, now);
         if let Some(next) = proposal {
             self.propose(next, revision).await;
         }
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -22,6 +22,11 @@
 /// Longest such wait; an outage of seconds should not cost a second more.
 const RETRY_LAST: Duration = Duration::from_millis(800);
 
+/// Wait after changes before the next are asked for. Servers register one by one
+/// and each answer costs a call; a tenth of a second is a twentieth of what a
+/// change may take.
+const GATHER: Duration = Duration::from_millis(100);
+
 /// A key with its value; no value when it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -347,8 +352,12 @@
         let events = watch.next().await?;
         *wait = RETRY_FIRST;
         let now = Instant::now();
+        let changed = !events.is_empty();
         mirror.put(events.into_iter().map(item).collect(), now);
         mirror.confirm(prefix, now);
+        if changed {
+            tokio::time::sleep(GATHER).await;
+        }
     }
     Ok(())
 }
--- a/crates/gradedyke-turns/src/sync.rs
+++ b/crates/gradedyke-turns/src/sync.rs
@@ -26,6 +26,8 @@
 /// Wait before missing records are asked for, in which most arrive by
 /// themselves.
 const SPARE: Duration = Duration::from_millis(150);
+/// How often a spare looks whether the members are there.
+const GREET: Duration = Duration::from_millis(400);
 /// Records asked for in one call.
 const RECORDS: usize = 64;
 
@@ -74,6 +76,10 @@
     async fn rounds(&self) {
         let (mut boot, mut from) = (0, 0);
         loop {
+            if !self.member() {
+                self.greet().await;
+                continue;
+            }
             match self.round(boot, from).await {
                 Some(keys) => {
                     self.heard(&keys);
@@ -87,14 +93,29 @@
         }
     }
 
+    /// Looks whether the other is there, and no more: a spare needs no records.
+    async fn greet(&self) {
+        match self.call(&Request::Hello).await {
+            Some(_) => self.regained(),
+            None => self.lost(),
+        }
+        tokio::time::sleep(GREET).await;
+    }
+
     fn heard(&self, keys: &Keys) {
+        self.regained();
+        if keys.all {
+            self.progress.send_modify(|progress| {
+                progress.level = progress.level.max(Some(keys.view));
+            });
+        }
+    }
+
+    fn regained(&self) {
         self.progress.send_modify(|progress| {
             if progress.lost.take().is_some() {
                 tracing::info!(event = "replica_regained", disk = self.other);
             }
-            if keys.all {
-                progress.level = progress.level.max(Some(keys.view));
-            }
         });
     }
 
@@ -130,6 +151,13 @@
         keys.iter().filter(|k| !index.has(k)).cloned().collect()
     }
 
+    /// Whether this replica takes part.
+    fn member(&self) -> bool {
+        let view = self.replica.view();
+        let view = view.borrow();
+        view.find(self.replica.disk()).is_some()
+    }
+
     /// Whether this replica counts already, so that there is no hurry.
     fn active(&self) -> bool {
         let view = self.replica.view();
--- a/crates/gradedyke-turns/src/view.rs
+++ b/crates/gradedyke-turns/src/view.rs
@@ -12,6 +12,10 @@
 /// Key of the view in the key-value service.
 pub const KEY: &str = "gradedyke/view";
 
+/// Replicas that watch the platform's service: one, and another for when that
+/// is lost.
+const WATCHERS: usize = 2;
+
 /// Identity of a replica's disk. A disk that was lost comes back with another.
 pub type Disk = u64;
 
@@ -62,6 +66,18 @@
         majority.max(self.tolerate + 1)
     }
 
+    /// Whether the replica on `disk` is one of those that watch the platform's
+    /// service for all; before anybody takes part, each does.
+    pub fn watches(&self, disk: Disk) -> bool {
+        let mut first = self.active().take(WATCHERS);
+        self.members.is_empty() || first.any(|m| m.disk == disk)
+    }
+
+    /// The members that watch the platform's service for all.
+    pub fn watchers(&self) -> impl Iterator<Item = &Member> {
+        self.active().take(WATCHERS)
+    }
+
     /// The member with this disk.
     pub fn find(&self, disk: Disk) -> Option<&Member> {
         self.members.iter().find(|m| m.disk == disk)
