Keep the mirror on the keepers' disks

Ruled out: asking the store more often (it is silent).

Change: keepers write the mirror to disk when it changed and start from it as an old copy; entries take an old copy where there is no fresh one; entries call the platform at most every 2.5 s while they are alone.

--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -10,12 +10,12 @@
 use gradedyke_http::Server;
 use gradedyke_http::server::{Config, Protocol};
 use gradedyke_platform::kv::KeyValue;
-use gradedyke_turns::feed;
 use gradedyke_turns::membership::{self, Membership};
 use gradedyke_turns::mirror::{self, Mirror};
 use gradedyke_turns::quorum::Quorum;
 use gradedyke_turns::replica::{self, Desk, Replica};
 use gradedyke_turns::view::Disk;
+use gradedyke_turns::{feed, snapshot};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -37,6 +37,12 @@
     pub kv: Arc<dyn KeyValue>,
 }
 
+/// Longest wait of a keeper between failed calls to the platform: an outage of
+/// seconds should not cost a second more.
+const KEEPER_PATIENCE: Duration = Duration::from_millis(800);
+/// The same of an entry, which asks only where no keeper has news: there are
+/// many of them, each call costs, and keepers are back before it matters.
+const ENTRY_PATIENCE: Duration = Duration::from_millis(2_500);
 /// How often an entry looks at servers that vanished.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time in which the balancer notices that an entry leaves: it asks every
@@ -83,6 +89,7 @@
     mirror: &Arc<Mirror>,
     kv: &Arc<dyn KeyValue>,
     wanted: impl Fn() -> bool + Clone + Send + Sync + 'static,
+    patience: Duration,
     stop: &CancellationToken,
 ) {
     for prefix in mirror.prefixes().to_vec() {
@@ -91,6 +98,7 @@
             kv.clone(),
             prefix,
             wanted.clone(),
+            patience,
             stop.clone(),
         ));
     }
@@ -122,7 +130,7 @@
         stop.clone(),
     ));
     let wanted = move || quorum.view().watches(disk) || health.alone(Instant::now());
-    follow(tasks, mirror, kv, wanted, stop);
+    follow(tasks, mirror, kv, wanted, KEEPER_PATIENCE, stop);
 }
 
 fn prefixes(dialect: &dyn Dialect) -> Vec<&str> {
@@ -175,7 +183,7 @@
         let tasks = &mut process.tasks;
         tasks.spawn(feed::run(fed, quorum, feed_health, sources, feed_stop));
         let alone = move || health.alone(Instant::now());
-        follow(tasks, &mirror, &world.kv, alone, &stop);
+        follow(tasks, &mirror, &world.kv, alone, ENTRY_PATIENCE, &stop);
         tasks.spawn(refresh(entry.clone(), stop.clone()));
         let config = Config {
             protocol: Protocol::Http1,
@@ -225,6 +233,8 @@
         let desk = Arc::new(Desk::new(mirror.clone(), replica));
         let tasks = &mut process.tasks;
         tasks.spawn(gradedyke_peer::server::serve(listener, desk, stop.clone()));
+        snapshot::load(&mirror, &folder, Instant::now());
+        tasks.spawn(snapshot::keep(mirror.clone(), folder.clone(), stop.clone()));
         // What the platform holds is told to entries while the disk is read.
         let disk = replica::identity(&folder)?;
         watch_platform(tasks, &mirror, &world.kv, &config, disk, &stop);
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -1,6 +1,7 @@
 //! Takes the platform's news from a replica, so that most processes never call
 //! the platform's service.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -25,6 +26,9 @@
 /// 0.3 s at most, and a change of configuration may take 2 s.
 pub const STALE: Duration = Duration::from_millis(1_300);
 
+/// How long a source is followed whose copy is old, before all are asked again
+/// for a fresh one.
+const OLD: Duration = Duration::from_millis(800);
 /// How much earlier a source is asked than the one after it.
 const AHEAD: Duration = Duration::from_millis(3);
 /// Time without news from a fresh copy after which the service itself is asked:
@@ -75,11 +79,13 @@
     sources: impl Fn() -> Vec<SocketAddr>,
     stop: CancellationToken,
 ) {
+    let mut positions = Positions::new();
     loop {
         let known = sources();
         if let Some(source) = first(&quorum, &known).await {
+            let position = positions.entry(source).or_default();
             tokio::select! {
-                why = follow(&mirror, &quorum, &health, source) => {
+                why = follow(&mirror, &quorum, &health, source, position) => {
                     tracing::info!(event = "feed_left", %source, why);
                 }
                 () = stop.cancelled() => return,
@@ -92,9 +98,12 @@
     }
 }
 
-/// The first source that has a fresh copy. All are asked at once, because one
-/// that does not answer costs more than the questions; preferred ones have a
-/// start.
+/// How far each source has been followed: its process start, and the change.
+type Positions = HashMap<SocketAddr, (u64, u64)>;
+
+/// The first source that has a fresh copy, or else any that answers. All are
+/// asked at once, because one that does not answer costs more than the
+/// questions; preferred ones have a start.
 async fn first(quorum: &Quorum, sources: &[SocketAddr]) -> Option<SocketAddr> {
     let mut asked = FuturesUnordered::new();
     for (place, source) in sources.iter().enumerate() {
@@ -105,30 +114,36 @@
             let age = Request::Age;
             let reply = client.call(message::encode(&age), CALL).await.ok()?;
             match message::decode(&reply)? {
-                Reply::Age(Some(ms)) if Duration::from_millis(ms) <= STALE => Some(*source),
+                Reply::Age(age) => Some((*source, age.map(Duration::from_millis))),
                 _ => None,
             }
         });
     }
-    while let Some(found) = asked.next().await {
-        if found.is_some() {
-            return found;
+    let mut old = None;
+    while let Some(answer) = asked.next().await {
+        match answer {
+            Some((source, Some(age))) if age <= STALE => return Some(source),
+            Some((source, _)) => old = Some(source),
+            None => {}
         }
     }
-    None
+    old
 }
 
-/// Follows one source until it fails or its copy is old.
+/// Follows one source until it fails, or for a while if its copy is old.
 async fn follow(
     mirror: &Mirror,
     quorum: &Quorum,
     health: &Health,
     source: SocketAddr,
+    position: &mut (u64, u64),
 ) -> &'static str {
     let client = quorum.client(source);
-    let (mut boot, mut since) = (0, 0);
     let wait_ms = u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX);
+    let joined = Instant::now();
+    let mut first = true;
     loop {
+        let (boot, since) = *position;
         let request = Request::Follow {
             boot,
             since,
@@ -142,15 +157,17 @@
             return "not understood";
         };
         let age = news.age_ms.map(Duration::from_millis);
-        let first = boot == 0;
-        (boot, since) = (news.boot, news.next);
-        mirror.learn(news, Instant::now());
+        *position = (news.boot, news.next);
+        let now = Instant::now();
+        mirror.learn(news, now);
         if first {
             tracing::info!(event = "feed_joined", %source, age = ?age);
         }
-        if age.is_none_or(|a| a > STALE) {
+        first = false;
+        if age.is_some_and(|a| a <= STALE) {
+            health.fresh(now);
+        } else if now - joined > OLD {
             return "its copy is old";
         }
-        health.fresh(Instant::now());
     }
 }
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -22,7 +22,8 @@
 //!   date.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
 //! - [`quorum`]: the asking side.
-//! - [`mirror`]: a copy of the platform's service; [`feed`]: how it spreads.
+//! - [`mirror`]: a copy of the platform's service; [`feed`]: how it spreads;
+//!   [`snapshot`]: its copy on disk.
 //!
 //! [`gradedyke_journal`]: https://docs.rs/gradedyke-journal
 
@@ -35,5 +36,6 @@
 pub mod quorum;
 pub mod record;
 pub mod replica;
+pub mod snapshot;
 pub mod sync;
 pub mod view;
--- a/crates/gradedyke-turns/src/membership.rs
+++ b/crates/gradedyke-turns/src/membership.rs
@@ -254,13 +254,13 @@
 
     async fn look(&mut self) {
         let mirror = self.replica.mirror().clone();
-        // Before the first listing nothing is known of the view.
-        if mirror.age(Instant::now()).is_none() {
-            return;
-        }
         let (view, revision) = read(&mirror).unwrap_or_default();
         self.replica.learn(&view);
         self.follow(&view);
+        // Before the first listing what is known of the view is an old copy.
+        if mirror.age(Instant::now()).is_none() {
+            return;
+        }
         let leaving = self.removal.requested(&mirror);
         let now = Instant::now();
         let leave = leaving.contains(&self.config.name);
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -19,8 +19,6 @@
 
 /// First wait after a failed call to the service.
 const RETRY_FIRST: Duration = Duration::from_millis(50);
-/// Longest such wait; an outage of seconds should not cost a second more.
-const RETRY_LAST: Duration = Duration::from_millis(800);
 
 /// Wait after changes before the next are asked for. Servers register one by one
 /// and each answer costs a call; a tenth of a second is a twentieth of what a
@@ -124,6 +122,13 @@
             .collect()
     }
 
+    /// All items, without those that were deleted.
+    pub fn items(&self) -> Vec<Item> {
+        let state = self.lock();
+        let items = state.items.values().map(|h| &h.item);
+        items.filter(|i| i.value.is_some()).cloned().collect()
+    }
+
     /// How long ago the service confirmed the copy; `None` before it ever did.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let confirmed = self.lock().confirmed(&self.prefixes)?;
@@ -297,13 +302,14 @@
     }
 }
 
-/// Lists and watches one prefix until `stop`. With `wanted`, it does so only
-/// while that tells it to.
+/// Lists and watches one prefix until `stop`, while `wanted` tells it to. Waits
+/// between failed calls grow up to `patience`.
 pub async fn follow(
     mirror: Arc<Mirror>,
     kv: Arc<dyn KeyValue>,
     prefix: String,
     wanted: impl Fn() -> bool,
+    patience: Duration,
     stop: CancellationToken,
 ) {
     let mut wait = RETRY_FIRST;
@@ -322,7 +328,7 @@
             () = tokio::time::sleep(jitter) => {}
             () = stop.cancelled() => return,
         }
-        wait = (wait * 2).min(RETRY_LAST);
+        wait = (wait * 2).min(patience);
     }
 }
 
