Entries tell each other what they have in progress

Each of 56 entries saw only its own requests, and a bonus of 30 ms for the shared beginning of a prompt drew all new conversations of an entry to one server.

Ruled out: asking servers for reports (priced, some hundred ms old).

Change: the exchange that begins a turn carries what the entry has in progress and brings back the sum of the others'; memory of engines counts; the bonus is 8 ms.

--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -34,6 +34,7 @@
         held_tokens: 0,
         object: call.meta.object.as_ref().filter(|_| call.route.sticky),
         engine: false,
+        room: 0,
         repeatable: call.route.kind == Kind::Idempotent,
         now: call.arrived,
     };
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -137,13 +137,19 @@
     let ask = Ask {
         reserve,
         parent,
+        load: entry.fleet.report(),
         until: call.until.min(Instant::now() + BEGIN),
     };
     let started = Instant::now();
     let begun = entry.quorum.begin(&ask).await;
     metrics::histogram!("gradedyke_begin_seconds").record(started.elapsed().as_secs_f64());
     match begun {
-        Ok(chain) => Ok((chain, ledger)),
+        Ok(begun) => {
+            if let Some(load) = begun.load {
+                entry.fleet.learn(&load, Instant::now());
+            }
+            Ok((begun.chain, ledger))
+        }
         Err(error) => {
             tracing::info!(event = "turn_refused", request = %call.id,
                 view = entry.quorum.view().version,
@@ -183,6 +189,7 @@
         held_tokens: chain.map_or(0, |c| c.body.len() as u64),
         object: call.meta.object.as_ref(),
         engine: true,
+        room: call.engine().map_or(0, |e| e.cache_tokens),
         repeatable: false,
         now: call.arrived,
     }
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use gradedyke_turns::load::{self, Busy, Report};
 use gradedyke_turns::mirror::Mirror;
 use gradedyke_turns::record::Id;
 use slotmap::{SlotMap, new_key_type};
@@ -34,6 +35,8 @@
 /// How long a server that vanished in calm times stays as a last resort: below
 /// the 2 s in which requests must have stopped.
 const VANISHED: Duration = Duration::from_millis(1_000);
+/// How long what other entries told counts: several requests' time.
+const TOLD: Duration = Duration::from_millis(1_500);
 /// Names remembered for each server: conversations and objects it has seen.
 const SEEN: usize = 4_096;
 /// Weight of the newest answer in a server's average time.
@@ -71,6 +74,10 @@
     state: State,
     pool: Arc<Pool>,
     in_flight: u32,
+    /// Tokens of the prompts of those.
+    tokens: u64,
+    /// What other entries have in progress there, as last told.
+    others: Busy,
     failures: u32,
     rests_until: Option<Instant>,
     cold_until: Instant,
@@ -100,6 +107,8 @@
     pub object: Option<&'a Id>,
     /// Whether the service runs models.
     pub engine: bool,
+    /// Tokens that the memory of one of its servers holds; 0 if it has none.
+    pub room: u64,
     /// Whether the request may be repeated.
     pub repeatable: bool,
     /// The present time.
@@ -115,12 +124,14 @@
     pub id: Id,
     /// Connections to it.
     pub pool: Arc<Pool>,
+    tokens: u64,
 }
 
 impl Drop for Choice {
     fn drop(&mut self) {
         if let Some(known) = self.fleet.lock().servers.get_mut(self.key) {
             known.in_flight = known.in_flight.saturating_sub(1);
+            known.tokens = known.tokens.saturating_sub(self.tokens);
         }
     }
 }
@@ -130,12 +141,16 @@
     servers: SlotMap<Key, Known>,
     by_id: HashMap<Id, Key>,
     by_service: HashMap<String, Vec<Key>>,
+    /// When it was last told what other entries have in progress.
+    told: Option<Instant>,
 }
 
 /// The backend servers as this entry sees them.
 pub struct Fleet {
     data_centre: String,
     policy: Arc<dyn Policy>,
+    /// Tells this entry's reports from those of others.
+    boot: u64,
     servers: Mutex<Servers>,
 }
 
@@ -145,6 +160,7 @@
         Arc::new(Self {
             data_centre: data_centre.to_owned(),
             policy,
+            boot: rand::random(),
             servers: Mutex::default(),
         })
     }
@@ -194,6 +210,9 @@
     pub fn choose(self: &Arc<Self>, question: &Question<'_>) -> Option<Choice> {
         let mut servers = self.lock();
         let keys = servers.able(question);
+        if servers.told.is_some_and(|at| question.now - at > TOLD) {
+            servers.forget_others();
+        }
         let usual = servers.usual_ms(&keys);
         let candidates: Vec<Candidate> = keys
             .iter()
@@ -202,6 +221,7 @@
         let key = keys[self.policy.choose(&candidates)?];
         let known = servers.servers.get_mut(key)?;
         known.in_flight += 1;
+        known.tokens += question.prompt_tokens;
         if let Some(object) = question.object {
             known.see(object, question.now);
         }
@@ -210,9 +230,36 @@
             key,
             id: known.server.id.clone(),
             pool: known.pool.clone(),
+            tokens: question.prompt_tokens,
         })
     }
 
+    /// What this entry has in progress.
+    pub fn report(&self) -> Report {
+        let servers = self.lock();
+        let busy = servers.servers.values().filter(|k| k.in_flight > 0);
+        let busy = busy.map(|known| Busy {
+            server: load::server(&known.server.id),
+            requests: known.in_flight,
+            tokens: known.tokens,
+        });
+        Report {
+            entry: self.boot,
+            busy: busy.collect(),
+        }
+    }
+
+    /// Takes in what other entries have in progress.
+    pub fn learn(&self, load: &[Busy], now: Instant) {
+        let mut servers = self.lock();
+        servers.told = Some(now);
+        let told: HashMap<load::Server, Busy> = load.iter().map(|b| (b.server, *b)).collect();
+        for known in servers.servers.values_mut() {
+            let server = load::server(&known.server.id);
+            known.others = told.get(&server).copied().unwrap_or_default();
+        }
+    }
+
     fn candidate(&self, known: &Known, question: &Question<'_>, usual: Option<f64>) -> Candidate {
         let holds = question.holder == Some(&known.server.id);
         let familiar = question.object.is_some_and(|o| known.seen.contains_key(o));
@@ -226,7 +273,9 @@
             _ => 1.0,
         };
         Candidate {
-            in_flight: known.in_flight,
+            in_flight: known.in_flight + known.others.requests,
+            tokens: known.tokens + known.others.tokens,
+            room: question.room,
             slots: known.server.slots,
             near: known.server.data_centre == self.data_centre,
             unread_tokens: unread,
@@ -306,6 +355,14 @@
 }
 
 impl Servers {
+    /// Drops what other entries told: it is too old.
+    fn forget_others(&mut self) {
+        self.told = None;
+        for known in self.servers.values_mut() {
+            known.others = Busy::default();
+        }
+    }
+
     fn list(&mut self, server: Server, learned: Instant) {
         if let Some(known) = self.by_id.get(&server.id).copied() {
             let known = &mut self.servers[known];
@@ -325,6 +382,8 @@
             state: State::Listed,
             pool: Arc::new(Pool::new(server.address)),
             in_flight: 0,
+            tokens: 0,
+            others: Busy::default(),
             failures: 0,
             rests_until: None,
             cold_until: learned + server.cold,
--- a/crates/gradedyke-gateway/src/placement.rs
+++ b/crates/gradedyke-gateway/src/placement.rs
@@ -9,8 +9,12 @@
 /// What a policy knows of a server that could run the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
-    /// Requests of this entry in progress there.
+    /// Requests in progress there: this entry's, and those that others told of.
     pub in_flight: u32,
+    /// Tokens of their prompts.
+    pub tokens: u64,
+    /// Tokens that its memory holds; 0 for a service that runs no model.
+    pub room: u64,
     /// Requests it runs at a time.
     pub slots: u32,
     /// Whether it stands in this entry's data centre.
@@ -71,9 +75,9 @@
 /// milliseconds over an answer of about a dozen steps of 0.09 ms and the share
 /// of its prompt that is read in between.
 const BATCH_MS: f64 = 3.0;
-/// What a request ahead of this one at a plain service costs when all places
-/// are taken, as a share of its work; in milliseconds of usual work.
-const QUEUE_MS: f64 = 200.0;
+/// What a request ahead of this one costs when all places are taken, times the
+/// places: the usual time of a request, of either kind, in milliseconds.
+const QUEUE_MS: f64 = 300.0;
 /// What a request beside this one at a plain service costs while places are
 /// free: it may be one of many that other entries sent there.
 const BESIDE_MS: f64 = 12.0;
@@ -82,8 +86,16 @@
 const FAR_MS: f64 = 6.0;
 /// What a server that has just started costs.
 const COLD_MS: f64 = 100.0;
-/// What it saves that a server has lately seen the object.
-const FAMILIAR_MS: f64 = 30.0;
+/// What it saves that a server has lately seen the object. Any server has seen
+/// the few shared beginnings of prompts soon, so that this must not draw all to
+/// the first.
+const FAMILIAR_MS: f64 = 8.0;
+/// Share of a server's memory that running prompts may fill before it is
+/// expected to put some back; answers grow, and estimates are rough.
+const FULL: f64 = 0.8;
+/// What it costs to go where memory is full, in milliseconds: the reading of a
+/// prompt of usual length again.
+const FULL_MS: f64 = 150.0;
 /// What a resting connection saves: opening one, and its price. A tenth of the
 /// work of a call at a plain service, so that it never outweighs a queue.
 const WARM_MS: f64 = 15.0;
@@ -103,10 +115,13 @@
         let far = if candidate.near { 0.0 } else { FAR_MS };
         let cold = if candidate.cold { COLD_MS } else { 0.0 };
         let familiar = if candidate.familiar { FAMILIAR_MS } else { 0.0 };
+        let room = FULL * candidate.room as f64;
+        let full = candidate.room > 0 && candidate.tokens as f64 > room;
+        let full = if full { FULL_MS } else { 0.0 };
         let warm = if candidate.warm { WARM_MS } else { 0.0 };
         let slow = (candidate.slowness - 1.0).max(0.0) * USUAL_MS;
         let read = candidate.unread_tokens as f64 / READ_PER_MS;
-        read + waiting + taken * beside + far + cold + slow - familiar - warm
+        read + full + waiting + taken * beside + far + cold + slow - familiar - warm
     }
 }
 
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -21,7 +21,7 @@
 //! - [`replica`]: the answering side; [`sync`]: replicas bring each other up to
 //!   date.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
-//! - [`quorum`]: the asking side.
+//! - [`quorum`]: the asking side; [`load`]: how busy backend servers are.
 //! - [`mirror`]: a copy of the platform's service; [`feed`]: how it spreads;
 //!   [`snapshot`]: its copy on disk.
 //!
@@ -29,6 +29,7 @@
 
 pub mod feed;
 pub mod index;
+pub mod load;
 pub mod log;
 pub mod membership;
 pub mod message;
--- /dev/null
+++ b/crates/gradedyke-turns/src/load.rs
@@ -0,0 +1,95 @@
+//! How busy each backend server is, over all entries.
+//!
+//! An entry alone sees a small part of the load: with fifty of them, some chose
+//! the same server by chance and its queue grew unseen. So each tells the
+//! keepers, with the exchange that begins a turn, what it has in progress where,
+//! and gets the sum of what the others told. No call is made for it, and the
+//! sum is as fresh as the exchange. Asking the servers was given up: their own
+//! reports lag and are priced.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::record::Id;
+
+/// A server's name in short, which travels with every turn.
+pub type Server = u32;
+
+/// The short name of a server.
+pub fn server(id: &Id) -> Server {
+    let mut hasher = DefaultHasher::new();
+    id.as_str().hash(&mut hasher);
+    // The upper half; two servers that share it only look busier than they are.
+    u32::try_from(hasher.finish() >> 32).unwrap_or_default()
+}
+
+/// What is in progress at one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Busy {
+    /// The server.
+    pub server: Server,
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of their prompts.
+    pub tokens: u64,
+}
+
+/// What one entry has in progress.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The entry, by the start of its process.
+    pub entry: u64,
+    /// Servers where it has something in progress.
+    pub busy: Vec<Busy>,
+}
+
+/// How long a report counts. An entry with something in progress tells more
+/// often; one that is gone must not look busy for longer.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+/// The reports of all entries.
+#[derive(Debug, Default)]
+pub struct Board {
+    reports: HashMap<u64, (Instant, Vec<Busy>)>,
+}
+
+impl Board {
+    /// Takes a report in.
+    pub fn put(&mut self, report: Report, now: Instant) {
+        self.reports
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < FRESH);
+        self.reports.insert(report.entry, (now, report.busy));
+    }
+
+    /// What all entries but `entry` have in progress.
+    ///
+    /// ```
+    /// use gradedyke_turns::load::{Board, Busy, Report};
+    ///
+    /// let now = tokio::time::Instant::now();
+    /// let busy = |requests| vec![Busy { server: 7, requests, tokens: 100 }];
+    /// let mut board = Board::default();
+    /// board.put(Report { entry: 1, busy: busy(2) }, now);
+    /// board.put(Report { entry: 2, busy: busy(3) }, now);
+    /// assert_eq!(board.others(1, now), busy(3));
+    /// ```
+    pub fn others(&self, entry: u64, now: Instant) -> Vec<Busy> {
+        let mut sums: HashMap<Server, Busy> = HashMap::new();
+        let fresh = |at: Instant| now.saturating_duration_since(at) < FRESH;
+        let others = self
+            .reports
+            .iter()
+            .filter(|(e, (at, _))| **e != entry && fresh(*at));
+        for busy in others.flat_map(|(_, (_, busy))| busy) {
+            let sum = sums.entry(busy.server).or_default();
+            sum.server = busy.server;
+            sum.requests += busy.requests;
+            sum.tokens += busy.tokens;
+        }
+        sums.into_values().collect()
+    }
+}
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::index::{Attempt, Chain, Position};
+use crate::load::{Busy, Report};
 use crate::mirror::News;
 use crate::record::{Id, Key, Record, Reserved};
 use crate::view::{Disk, View};
@@ -18,8 +19,11 @@
     pub reserve: Option<Reserved>,
     /// The turn that is continued.
     pub parent: Option<Id>,
-    /// Whether the whole conversation is wanted, not only whether it is here.
-    pub chain: bool,
+    /// Whether this replica is the nearest: then the whole conversation is
+    /// wanted, not only whether it is here, and what others have in progress.
+    pub nearest: bool,
+    /// What the asker has in progress.
+    pub load: Report,
 }
 
 /// A request.
@@ -101,6 +105,8 @@
         attempts: Vec<Attempt>,
         /// The conversation, where one is continued.
         parent: Option<Found>,
+        /// What other entries have in progress, if this replica is the nearest.
+        load: Option<Vec<Busy>>,
     },
     /// The record is kept.
     Kept,
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::index::{Attempt, Chain};
+use crate::load::{Busy, Report};
 use crate::membership;
 use crate::message::{self, Begin, Found, Reply, Request};
 use crate::mirror::Mirror;
@@ -65,10 +66,21 @@
     pub reserve: Option<(Reserved, u64)>,
     /// The turn that is continued.
     pub parent: Option<Id>,
+    /// What the asker has in progress.
+    pub load: Report,
     /// When the answer is of no use any more.
     pub until: Instant,
 }
 
+/// What was begun.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Begun {
+    /// The conversation that is continued.
+    pub chain: Option<Chain>,
+    /// What other entries have in progress, if the nearest replica told.
+    pub load: Option<Vec<Busy>>,
+}
+
 /// The replicas as one asking process sees them.
 pub struct Quorum {
     mirror: Arc<Mirror>,
@@ -188,7 +200,7 @@
     /// # Errors
     ///
     /// A [`Refusal`]; the reservation may stand, so it is to be settled.
-    pub async fn begin(&self, ask: &Ask) -> Result<Option<Chain>, Refusal> {
+    pub async fn begin(&self, ask: &Ask) -> Result<Begun, Refusal> {
         loop {
             let view = self.view();
             let Some(result) = self.begin_under(&view, ask).await else {
@@ -229,17 +241,15 @@
     }
 
     /// `None` when the view turned out to be old.
-    async fn begin_under(&self, view: &View, ask: &Ask) -> Option<Result<Option<Chain>, Refusal>> {
-        if ask.reserve.is_none() && ask.parent.is_none() {
-            return Some(Ok(None));
-        }
+    async fn begin_under(&self, view: &View, ask: &Ask) -> Option<Result<Begun, Refusal>> {
         let nearest = self.nearest(view).map(|m| m.disk);
         let request = |member: &Member| {
             message::encode(&Request::Begin(Begin {
                 view: view.version,
                 reserve: ask.reserve.as_ref().map(|(r, _)| r.clone()),
                 parent: ask.parent.clone(),
-                chain: Some(member.disk) == nearest,
+                nearest: Some(member.disk) == nearest,
+                load: ask.load.clone(),
             }))
         };
         let mut gathered = Gathered::new(view);
@@ -269,7 +279,7 @@
         gathered: Gathered,
         ask: &Ask,
         asked: usize,
-    ) -> Result<Option<Chain>, Refusal> {
+    ) -> Result<Begun, Refusal> {
         let (answered, needed) = (gathered.answered, gathered.needed);
         if !gathered.has_quorum() {
             return Err(Refusal::NoQuorum { answered, needed });
@@ -277,18 +287,20 @@
         if let Some((reserved, budget)) = &ask.reserve {
             gathered.afford(reserved, *budget)?;
         }
+        let load = gathered.load;
         if ask.parent.is_none() {
-            return Ok(None);
+            return Ok(Begun { chain: None, load });
         }
-        match (gathered.chain, gathered.holder) {
-            (Some(chain), _) => Ok(Some(chain)),
-            (None, Some(holder)) => {
-                let chain = self.fetch(&holder, ask).await;
-                chain.map(Some).ok_or(Refusal::Unsure)
-            }
+        let chain = match (gathered.chain, gathered.holder) {
+            (Some(chain), _) => Ok(chain),
+            (None, Some(holder)) => self.fetch(&holder, ask).await.ok_or(Refusal::Unsure),
             (None, None) if gathered.missing == asked && asked >= needed => Err(Refusal::NoTurn),
             (None, None) => Err(Refusal::Unsure),
-        }
+        };
+        chain.map(|chain| Begun {
+            chain: Some(chain),
+            load,
+        })
     }
 
     async fn fetch(&self, holder: &Member, ask: &Ask) -> Option<Chain> {
@@ -362,6 +374,7 @@
     chain: Option<Chain>,
     holder: Option<Member>,
     missing: usize,
+    load: Option<Vec<Busy>>,
 }
 
 impl Gathered {
@@ -375,6 +388,7 @@
             chain: None,
             holder: None,
             missing: 0,
+            load: None,
         }
     }
 
@@ -391,7 +405,12 @@
     fn take(&mut self, member: &Member, reply: Option<Reply>) {
         self.heard += 1;
         match reply {
-            Some(Reply::Began { attempts, parent }) => {
+            Some(Reply::Began {
+                attempts,
+                parent,
+                load,
+            }) => {
+                self.load = self.load.take().or(load);
                 self.answered += usize::from(member.active);
                 attempts.into_iter().for_each(|a| self.merge(a));
                 self.found(member, parent);
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::index::{Index, Position};
+use crate::load::{Board, Busy, Report};
 use crate::log::{self, Log};
 use crate::message::{self, Begin, Found, Keys, Reply, Request};
 use crate::mirror::Mirror;
@@ -41,6 +42,7 @@
     view: watch::Sender<View>,
     /// How far each other replica has followed.
     followed: Mutex<std::collections::HashMap<Disk, Position>>,
+    board: Mutex<Board>,
     mirror: Arc<Mirror>,
     stop: CancellationToken,
 }
@@ -103,6 +105,7 @@
             index: Mutex::new(index),
             view: watch::Sender::new(View::default()),
             followed: Mutex::default(),
+            board: Mutex::default(),
             mirror,
             stop,
         }))
@@ -186,8 +189,22 @@
             }
             attempts = self.index().attempts(&program);
         }
-        let parent = begin.parent.map(|id| self.find(&id, begin.chain));
-        Reply::Began { attempts, parent }
+        let parent = begin.parent.map(|id| self.find(&id, begin.nearest));
+        let load = self.load(begin.load, begin.nearest);
+        Reply::Began {
+            attempts,
+            parent,
+            load,
+        }
+    }
+
+    /// Takes a report in, and tells what others have in progress if `asked`.
+    fn load(&self, report: Report, asked: bool) -> Option<Vec<Busy>> {
+        let now = Instant::now();
+        let entry = report.entry;
+        let mut board = self.board.lock().unwrap_or_else(PoisonError::into_inner);
+        board.put(report, now);
+        asked.then(|| board.others(entry, now))
     }
 
     fn find(&self, id: &Id, whole: bool) -> Found {
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gradedyke_turns::load::{Busy, Report};
 use gradedyke_turns::membership;
 use gradedyke_turns::mirror::{Item, Mirror};
 use gradedyke_turns::quorum::{Ask, Quorum, Refusal};
@@ -115,6 +116,7 @@
         let ask = Ask {
             reserve: Some((reserved, budget)),
             parent: None,
+            load: Report::default(),
             until: soon(),
         };
         self.quorum.begin(&ask).await.map(|_| ())
@@ -148,10 +150,11 @@
         let ask = Ask {
             reserve: None,
             parent: Some(id(parent)),
+            load: Report::default(),
             until: soon(),
         };
         let chain = self.quorum.begin(&ask).await;
-        chain.map(|c| c.map(|c| c.body))
+        chain.map(|c| c.chain.map(|c| c.body))
     }
 }
 
@@ -241,3 +244,32 @@
     group.keep("b", Some("a")).await.unwrap();
     assert_eq!(group.quorum.view().version, 7);
 }
+
+#[tokio::test]
+async fn entries_learn_what_the_others_have_in_progress() {
+    let group = Group::start(3).await;
+    let ask = |entry, requests| Ask {
+        reserve: None,
+        parent: None,
+        load: Report {
+            entry,
+            busy: vec![Busy {
+                server: 7,
+                requests,
+                tokens: 10,
+            }],
+        },
+        until: soon(),
+    };
+    let alone = group.quorum.begin(&ask(1, 2)).await.unwrap().load;
+    assert!(alone.is_none_or(|l| l.is_empty()));
+    // The nearest replica may answer after the majority has; it tells next time.
+    let mut told = None;
+    for _ in 0..100 {
+        told = group.quorum.begin(&ask(2, 3)).await.unwrap().load;
+        if told.as_ref().is_some_and(|l| !l.is_empty()) {
+            break;
+        }
+    }
+    assert_eq!(told.unwrap()[0].requests, 2);
+}
