--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -34,9 +34,10 @@
 /// Time allowed to a caller that names none and whose route names none.
 const DEADLINE: Duration = Duration::from_secs(30);
 
-/// Longest wait for the first configuration: the time of a connect to a keeper
-/// and of one more try.
-const START: Duration = Duration::from_millis(400);
+/// Longest wait for the first configuration: when all processes were lost, what
+/// keepers take to start. A refusal would only use up one of the few tries that
+/// a caller has.
+const START: Duration = Duration::from_millis(1_000);
 
 /// The entry role of one process.
 pub struct Entry {
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -29,9 +29,13 @@
 
 /// Events that may wait for a caller that reads slowly.
 const EVENTS: usize = 64;
-/// Longest time that is waited for the keepers before a turn is sent: ten
-/// exchanges with a sync each; a caller does better elsewhere then.
+/// Longest time that keepers which are there have for the exchange before a turn
+/// is sent: ten exchanges with a sync each; a caller does better elsewhere then.
 const BEGIN: Duration = Duration::from_millis(300);
+/// Longest wait for keepers that were lost a moment ago, all of them: what they
+/// take to start and to read their disks. A refusal would only use up one of the
+/// few tries that a caller has.
+const RESTART: Duration = Duration::from_millis(1_000);
 /// Longest time to keep a turn whose answer is whole.
 const KEEP: Duration = Duration::from_millis(2_000);
 /// Longest time to settle what an attempt used, after its caller has gone.
@@ -138,7 +142,8 @@
         reserve,
         parent,
         load: entry.fleet.report(),
-        until: call.until.min(Instant::now() + BEGIN),
+        time: BEGIN,
+        until: call.until.min(Instant::now() + RESTART),
     };
     let started = Instant::now();
     let begun = entry.quorum.begin(&ask).await;
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -151,16 +151,20 @@
     policy: Arc<dyn Policy>,
     /// Tells this entry's reports from those of others.
     boot: u64,
+    /// Where this entry passes requests of others on.
+    own: Option<SocketAddr>,
     servers: Mutex<Servers>,
 }
 
 impl Fleet {
-    /// An empty fleet as seen from a data centre.
-    pub fn new(data_centre: &str, policy: Arc<dyn Policy>) -> Arc<Self> {
+    /// An empty fleet as seen from a data centre, by the entry that passes
+    /// requests of others on at `own`.
+    pub fn new(data_centre: &str, own: Option<SocketAddr>, policy: Arc<dyn Policy>) -> Arc<Self> {
         Arc::new(Self {
             data_centre: data_centre.to_owned(),
             policy,
             boot: rand::random(),
+            own,
             servers: Mutex::default(),
         })
     }
@@ -245,6 +249,7 @@
         });
         Report {
             entry: self.boot,
+            address: self.own,
             busy: busy.collect(),
         }
     }
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -10,6 +10,7 @@
 use gradedyke_http::Server;
 use gradedyke_http::server::{Config, Protocol};
 use gradedyke_platform::kv::KeyValue;
+use gradedyke_turns::detour::Forwarder;
 use gradedyke_turns::membership::{self, Membership};
 use gradedyke_turns::mirror::{self, Mirror};
 use gradedyke_turns::quorum::Quorum;
@@ -115,7 +116,7 @@
     stop: &CancellationToken,
 ) {
     let health = Arc::new(feed::Health::new(Instant::now()));
-    let quorum = Quorum::new(mirror.clone(), &config.data_centre);
+    let quorum = Quorum::new(mirror.clone(), &config.data_centre, None);
     let (others, own) = (quorum.clone(), config.address);
     let sources = move || {
         let view = others.view();
@@ -162,14 +163,24 @@
         let caller = required(settings.listen.caller, "listen.caller")?;
         let ready = required(settings.listen.ready, "listen.ready")?;
         let mirror = Mirror::new(&prefixes(&*world.dialect));
-        let quorum = Quorum::new(mirror.clone(), &settings.data_centre);
+        let forwards = match settings.listen.peer {
+            Some(address) => {
+                let listener = TcpListener::bind(address).await;
+                Some(listener.wrap_err_with(|| {
+                    format!("cannot listen on {address}; free it or change listen.peer")
+                })?)
+            }
+            None => None,
+        };
+        let own = forwards.as_ref().map(TcpListener::local_addr).transpose()?;
+        let quorum = Quorum::new(mirror.clone(), &settings.data_centre, own);
         let policy = placement::policies().remove(POLICY);
         let policy = policy.ok_or_else(|| eyre!("no policy {POLICY}; report this"))?;
         let entry = Arc::new(Entry {
             dialect: world.dialect.clone(),
             mirror: mirror.clone(),
             config: ArcSwapOption::empty(),
-            fleet: Fleet::new(&settings.data_centre, policy),
+            fleet: Fleet::new(&settings.data_centre, own, policy),
             quorum: quorum.clone(),
             drain: CancellationToken::new(),
             active: AtomicUsize::new(0),
@@ -185,6 +196,14 @@
         let alone = move || health.alone(Instant::now());
         follow(tasks, &mirror, &world.kv, alone, ENTRY_PATIENCE, &stop);
         tasks.spawn(refresh(entry.clone(), stop.clone()));
+        if let Some(listener) = forwards {
+            let forwarder = Arc::new(Forwarder::new(entry.quorum.clone()));
+            tasks.spawn(gradedyke_peer::server::serve(
+                listener,
+                forwarder,
+                stop.clone(),
+            ));
+        }
         let config = Config {
             protocol: Protocol::Http1,
             connections: CONNECTIONS,
--- /dev/null
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -0,0 +1,134 @@
+//! Ways around a cut between an entry and the keepers.
+//!
+//! An entry that cannot reach the keepers, while other entries can, asks these
+//! to pass its requests on. All requests to keepers may be repeated, so the
+//! direct way and the detour can be tried side by side. Entries learn of each
+//! other from the keepers, in time before a cut.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use gradedyke_peer::{Client, Handler};
+
+use crate::message::{self, Reply, Request};
+use crate::quorum::Quorum;
+
+/// How long the direct way has alone: ten times what an exchange takes with a
+/// sync, and little beside the time to a first token.
+const ALONE: Duration = Duration::from_millis(50);
+/// Longest time for a request that is passed on.
+const CALL: Duration = Duration::from_millis(800);
+
+/// Passes requests of other entries on to keepers.
+pub struct Forwarder {
+    quorum: Arc<Quorum>,
+}
+
+impl Forwarder {
+    /// A forwarder to the keepers that `quorum` knows.
+    pub fn new(quorum: Arc<Quorum>) -> Self {
+        Self { quorum }
+    }
+
+    async fn answer(&self, request: Request) -> Reply {
+        let (to, body) = match request {
+            Request::Hello => return Reply::Hello,
+            Request::Via { to, body } => (to, body),
+            _ => return Reply::Failed("an entry keeps no records; ask a keeper".to_owned()),
+        };
+        // To keepers only: an entry is no way to anywhere else.
+        let view = self.quorum.view();
+        if !view.members.iter().any(|m| m.address == to) {
+            return Reply::Failed("the address is no keeper's; renew the view".to_owned());
+        }
+        metrics::counter!("gradedyke_forwarded_total").increment(1);
+        match self.quorum.client(to).call(body, CALL).await {
+            Ok(reply) => Reply::Via(reply),
+            Err(error) => Reply::Failed(error.to_string()),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Forwarder {
+    async fn handle(&self, request: Bytes) -> Bytes {
+        let reply = match message::decode(&request) {
+            Some(request) => self.answer(request).await,
+            None => Reply::Failed("the request is not understood".to_owned()),
+        };
+        message::encode(&reply)
+    }
+}
+
+/// Asks the keeper at `to` through the entry that `neighbour` reaches.
+async fn ask(neighbour: &Client, to: SocketAddr, body: Bytes) -> Option<Bytes> {
+    let via = message::encode(&Request::Via { to, body });
+    let reply = neighbour.call(via, CALL).await;
+    let reply = reply.inspect_err(|error| {
+        tracing::debug!(event = "detour_failed", keeper = %to, %error);
+    });
+    match message::decode(&reply.ok()?)? {
+        Reply::Via(reply) => Some(reply),
+        _ => None,
+    }
+}
+
+/// The ways to one keeper.
+pub struct Way {
+    keeper: SocketAddr,
+    direct: Client,
+    detours: Vec<Client>,
+}
+
+impl Way {
+    /// The ways to `keeper`: its own client, and entries that may reach it.
+    pub fn new(keeper: SocketAddr, direct: Client, detours: Vec<Client>) -> Self {
+        Self {
+            keeper,
+            direct,
+            detours,
+        }
+    }
+
+    /// Calls by the direct way, for at most `time`; and by detours when that is
+    /// known to be broken, or does not answer soon.
+    pub async fn call(&self, body: Bytes, time: Duration) -> Option<Bytes> {
+        let direct = self.straight(body.clone(), time);
+        let around = self.around(body);
+        tokio::pin!(direct, around);
+        tokio::select! {
+            reply = &mut direct => match reply {
+                Some(reply) => Some(reply),
+                None => around.await,
+            },
+            reply = &mut around => match reply {
+                Some(reply) => Some(reply),
+                None => direct.await,
+            },
+        }
+    }
+
+    async fn straight(&self, body: Bytes, time: Duration) -> Option<Bytes> {
+        let reply = self.direct.call(body, time).await;
+        let reply = reply.inspect_err(|error| {
+            tracing::debug!(event = "replica_call_failed", keeper = %self.keeper, %error);
+        });
+        reply.ok()
+    }
+
+    async fn around(&self, body: Bytes) -> Option<Bytes> {
+        if !self.direct.is_down() {
+            tokio::time::sleep(ALONE).await;
+        }
+        for neighbour in &self.detours {
+            let reply = ask(neighbour, self.keeper, body.clone()).await;
+            if reply.is_some() {
+                return reply;
+            }
+        }
+        None
+    }
+}
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -21,12 +21,14 @@
 //! - [`replica`]: the answering side; [`sync`]: replicas bring each other up to
 //!   date.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
-//! - [`quorum`]: the asking side; [`load`]: how busy backend servers are.
+//! - [`quorum`]: the asking side; [`detour`]: ways around a cut;
+//!   [`load`]: how busy backend servers are.
 //! - [`mirror`]: a copy of the platform's service; [`feed`]: how it spreads;
 //!   [`snapshot`]: its copy on disk.
 //!
 //! [`gradedyke_journal`]: https://docs.rs/gradedyke-journal
 
+pub mod detour;
 pub mod feed;
 pub mod index;
 pub mod load;
--- a/crates/gradedyke-turns/src/load.rs
+++ b/crates/gradedyke-turns/src/load.rs
@@ -9,8 +9,10 @@
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -43,6 +45,8 @@
 pub struct Report {
     /// The entry, by the start of its process.
     pub entry: u64,
+    /// Where it passes requests of other entries on.
+    pub address: Option<SocketAddr>,
     /// Servers where it has something in progress.
     pub busy: Vec<Busy>,
 }
@@ -51,10 +55,16 @@
 /// often; one that is gone must not look busy for longer.
 const FRESH: Duration = Duration::from_millis(1_500);
 
+/// How long an entry that told something is taken for one that runs.
+const NEIGHBOUR: Duration = Duration::from_secs(20);
+/// Entries that are named to another at a time: enough that one is not cut.
+const NEIGHBOURS: usize = 6;
+
 /// The reports of all entries.
 #[derive(Debug, Default)]
 pub struct Board {
     reports: HashMap<u64, (Instant, Vec<Busy>)>,
+    addresses: HashMap<SocketAddr, Instant>,
 }
 
 impl Board {
@@ -63,6 +73,19 @@
         self.reports
             .retain(|_, (at, _)| now.saturating_duration_since(*at) < FRESH);
         self.reports.insert(report.entry, (now, report.busy));
+        if let Some(address) = report.address {
+            self.addresses.insert(address, now);
+        }
+    }
+
+    /// Some of the entries that told something lately, chosen at random.
+    pub fn neighbours(&mut self, now: Instant) -> Vec<SocketAddr> {
+        self.addresses
+            .retain(|_, at| now.saturating_duration_since(*at) < NEIGHBOUR);
+        let mut all: Vec<SocketAddr> = self.addresses.keys().copied().collect();
+        all.shuffle(&mut rand::rng());
+        all.truncate(NEIGHBOURS);
+        all
     }
 
     /// What all entries but `entry` have in progress.
@@ -73,8 +96,8 @@
     /// let now = tokio::time::Instant::now();
     /// let busy = |requests| vec![Busy { server: 7, requests, tokens: 100 }];
     /// let mut board = Board::default();
-    /// board.put(Report { entry: 1, busy: busy(2) }, now);
-    /// board.put(Report { entry: 2, busy: busy(3) }, now);
+    /// board.put(Report { entry: 1, address: None, busy: busy(2) }, now);
+    /// board.put(Report { entry: 2, address: None, busy: busy(3) }, now);
     /// assert_eq!(board.others(1, now), busy(3));
     /// ```
     pub fn others(&self, entry: u64, now: Instant) -> Vec<Busy> {
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -1,5 +1,7 @@
 //! What processes ask of a replica.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -33,6 +35,13 @@
     Hello,
     /// Asks how old the copy of the platform's service is.
     Age,
+    /// Asks an entry to pass a request on to a keeper.
+    Via {
+        /// The keeper's address.
+        to: SocketAddr,
+        /// The request, encoded.
+        body: Bytes,
+    },
     /// Begins an attempt.
     Begin(Begin),
     /// Keeps a record.
@@ -99,6 +108,8 @@
     Hello,
     /// Milliseconds since the service confirmed the copy; none if never.
     Age(Option<u64>),
+    /// What the keeper replied, encoded.
+    Via(Bytes),
     /// The attempt's reservation is kept.
     Began {
         /// All attempts of the program, this one too.
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -7,6 +7,7 @@
 //! in force ever comes back. An outage leaves the copy as it was.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -52,6 +53,8 @@
     pub age_ms: Option<u64>,
     /// Milliseconds for which the service has answered without a break.
     pub steady_ms: u64,
+    /// Some entries that run.
+    pub neighbours: Vec<SocketAddr>,
 }
 
 struct Held {
@@ -69,6 +72,7 @@
     /// when the service last confirmed that.
     through: HashMap<String, (Revision, Option<Instant>)>,
     steady: Option<Instant>,
+    neighbours: Vec<SocketAddr>,
 }
 
 /// The copy.
@@ -135,6 +139,11 @@
         Some(now.saturating_duration_since(confirmed))
     }
 
+    /// Some entries that run, as last told.
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        self.lock().neighbours.clone()
+    }
+
     /// Since when the service has answered without a break.
     pub fn steady(&self) -> Option<Instant> {
         self.lock().steady
@@ -195,6 +204,7 @@
             whole: complete.filter(|_| !known),
             age_ms: state.confirmed(&self.prefixes).map(past),
             steady_ms: state.steady.map(past).unwrap_or_default(),
+            neighbours: Vec::new(),
         }
     }
 
@@ -216,6 +226,9 @@
                 }
             }
         }
+        if !news.neighbours.is_empty() {
+            state.neighbours = news.neighbours;
+        }
         if let Some(age) = news.age_ms {
             let confirmed = now.checked_sub(Duration::from_millis(age));
             for prefix in &self.prefixes {
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -2,14 +2,17 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use gradedyke_peer::Client;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::detour::Way;
 use crate::index::{Attempt, Chain};
 use crate::load::{Busy, Report};
 use crate::membership;
@@ -24,6 +27,8 @@
 /// How long the nearest replica's copy of a conversation is waited for after
 /// the majority has answered, before another is asked.
 const PATIENCE: Duration = Duration::from_millis(25);
+/// Neighbours that are tried, one after the other, for a detour.
+const DETOURS: usize = 2;
 /// Wait before a majority that did not answer is asked again.
 const AGAIN: Duration = Duration::from_millis(40);
 /// How long after its loss a majority is waited for at all: what replicas that
@@ -68,7 +73,9 @@
     pub parent: Option<Id>,
     /// What the asker has in progress.
     pub load: Report,
-    /// When the answer is of no use any more.
+    /// How long one try may take.
+    pub time: Duration,
+    /// Until when tries are repeated after the loss of a majority.
     pub until: Instant,
 }
 
@@ -89,6 +96,10 @@
     view: watch::Sender<View>,
     /// Since when no majority answers.
     lost: Mutex<Option<Instant>>,
+    /// This process's own address, if it passes requests on.
+    own: Option<SocketAddr>,
+    /// Members that were reached when it was last tried, by any way.
+    detours: AtomicUsize,
 }
 
 struct Answers {
@@ -98,13 +109,16 @@
 
 impl Quorum {
     /// The replicas of the view in `mirror`, asked from `data_centre`.
-    pub fn new(mirror: Arc<Mirror>, data_centre: &str) -> Arc<Self> {
+    /// `own` is where the asking process passes requests of others on.
+    pub fn new(mirror: Arc<Mirror>, data_centre: &str, own: Option<SocketAddr>) -> Arc<Self> {
         Arc::new(Self {
             mirror,
             data_centre: data_centre.to_owned(),
             clients: Mutex::default(),
             view: watch::Sender::new(View::default()),
             lost: Mutex::default(),
+            own,
+            detours: AtomicUsize::new(0),
         })
     }
 
@@ -127,27 +141,41 @@
         });
     }
 
-    /// Whether a majority could be reached when it was last tried.
+    /// Whether a majority could be reached when it was last tried, directly or
+    /// by a detour.
     pub fn reachable(&self) -> bool {
         let view = self.view();
         let up = view.active().filter(|m| !self.client(m.address).is_down());
-        up.count() >= view.quorum()
+        up.count() >= view.quorum() || self.detours.load(Ordering::Relaxed) >= view.quorum()
+    }
+
+    /// The ways to the keeper at `address`.
+    fn way(&self, address: SocketAddr) -> Way {
+        let mut neighbours = self.mirror.neighbours();
+        neighbours.retain(|n| Some(*n) != self.own);
+        neighbours.truncate(DETOURS);
+        let detours = neighbours.into_iter().map(|n| self.client(n));
+        Way::new(address, self.client(address), detours.collect())
     }
 
     /// Tries again to reach the members that could not be reached: a process
     /// that is not ready gets no requests, and so would never try by itself.
-    pub fn mend(&self) {
-        for member in self.view().members {
-            let client = self.client(member.address);
-            if !client.is_down() {
-                continue;
-            }
-            let hello = message::encode(&Request::Hello);
-            tokio::spawn(async move {
-                // Whether it worked shows in the client's state.
-                let _ = client.call(hello, CALL).await;
-            });
+    pub fn mend(self: &Arc<Self>) {
+        let view = self.view();
+        let down = view.active().filter(|m| self.client(m.address).is_down());
+        let down: Vec<Way> = down.map(|m| self.way(m.address)).collect();
+        let up = view.active().count() - down.len();
+        if up >= view.quorum() && down.is_empty() {
+            self.detours.store(0, Ordering::Relaxed);
+            return;
         }
+        let quorum = self.clone();
+        tokio::spawn(async move {
+            let hello = message::encode(&Request::Hello);
+            let tries = down.iter().map(|way| way.call(hello.clone(), CALL));
+            let reached = join_all(tries).await.into_iter().flatten().count();
+            quorum.detours.store(up + reached, Ordering::Relaxed);
+        });
     }
 
     /// The client of the peer at `address`.
@@ -164,16 +192,13 @@
     fn ask(&self, view: &View, request: impl Fn(&Member) -> Bytes) -> Answers {
         let (sender, receiver) = mpsc::channel(view.members.len().max(1));
         for member in &view.members {
-            let client = self.client(member.address);
+            let way = self.way(member.address);
             let body = request(member);
             let sender = sender.clone();
             let member = member.clone();
             tokio::spawn(async move {
-                let reply = client.call(body, CALL).await;
-                let reply = reply.inspect_err(|error| {
-                    tracing::debug!(event = "replica_call_failed", replica = member.name, %error);
-                });
-                let reply = reply.ok().and_then(|r| message::decode::<Reply>(&r));
+                let reply = way.call(body, CALL).await;
+                let reply = reply.and_then(|r| message::decode::<Reply>(&r));
                 // Whoever has its majority does not wait for the rest.
                 let _ = sender.send((member, reply)).await;
             });
@@ -254,9 +279,10 @@
         };
         let mut gathered = Gathered::new(view);
         let mut answers = self.ask(view, request);
+        let end = ask.until.min(Instant::now() + ask.time);
         let mut patience = None;
         while !gathered.complete(ask) {
-            let until = patience.unwrap_or(ask.until);
+            let until = patience.unwrap_or(end);
             let Ok(Some((member, reply))) =
                 tokio::time::timeout_at(until, answers.receiver.recv()).await
             else {
@@ -268,7 +294,7 @@
             }
             gathered.take(&member, reply);
             if gathered.has_quorum() && patience.is_none() && gathered.holder.is_some() {
-                patience = Some(ask.until.min(Instant::now() + PATIENCE));
+                patience = Some(end.min(Instant::now() + PATIENCE));
             }
         }
         Some(self.conclude(gathered, ask, answers.asked).await)
@@ -305,10 +331,10 @@
 
     async fn fetch(&self, holder: &Member, ask: &Ask) -> Option<Chain> {
         let request = Request::Chain(ask.parent.clone()?);
-        let time = ask.until.saturating_duration_since(Instant::now());
-        let client = self.client(holder.address);
-        let reply = client.call(message::encode(&request), time.min(CALL)).await;
-        match message::decode(&reply.ok()?)? {
+        let way = self.way(holder.address);
+        let call = way.call(message::encode(&request), CALL);
+        let reply = tokio::time::timeout(ask.time, call).await.ok()?;
+        match message::decode(&reply?)? {
             Reply::Chain(chain) => chain,
             _ => None,
         }
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -15,7 +15,7 @@
 use crate::load::{Board, Busy, Report};
 use crate::log::{self, Log};
 use crate::message::{self, Begin, Found, Keys, Reply, Request};
-use crate::mirror::Mirror;
+use crate::mirror::{Mirror, News};
 use crate::record::{Id, Record};
 use crate::view::{Disk, View};
 
@@ -198,11 +198,15 @@
         }
     }
 
+    fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes a report in, and tells what others have in progress if `asked`.
     fn load(&self, report: Report, asked: bool) -> Option<Vec<Busy>> {
         let now = Instant::now();
         let entry = report.entry;
-        let mut board = self.board.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut board = self.board();
         board.put(report, now);
         asked.then(|| board.others(entry, now))
     }
@@ -273,6 +277,7 @@
     async fn answer(&self, request: Request) -> Reply {
         match request {
             Request::Hello | Request::Age | Request::Follow { .. } => Reply::Hello,
+            Request::Via { .. } => Reply::Failed("a keeper passes nothing on".to_owned()),
             Request::Begin(begin) => self.begin(begin).await,
             Request::Keep { view, record } => self.keep_under(view, &record).await,
             Request::Chain(id) => Reply::Chain(self.index().chain(&id)),
@@ -322,14 +327,23 @@
 
     async fn follow(&self, boot: u64, since: u64, wait: Duration) -> Reply {
         let mut changed = self.mirror.watch();
-        let news = self.mirror.news(boot, since, Instant::now());
+        let news = self.news(boot, since);
         if !news.items.is_empty() || news.whole.is_some() || news.boot != boot {
             return Reply::News(news);
         }
         let more = changed.wait_for(|change| *change > since);
         // Without a change the reply still tells how old the copy is.
         let _ = tokio::time::timeout(wait.min(NEWS_WAIT), more).await;
-        Reply::News(self.mirror.news(boot, since, Instant::now()))
+        Reply::News(self.news(boot, since))
+    }
+
+    fn news(&self, boot: u64, since: u64) -> News {
+        let now = Instant::now();
+        let mut news = self.mirror.news(boot, since, now);
+        if let Some(replica) = &*self.replica.borrow() {
+            news.neighbours = replica.board().neighbours(now);
+        }
+        news
     }
 }
 
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gradedyke_peer::Client;
+use gradedyke_turns::detour::{Forwarder, Way};
 use gradedyke_turns::load::{Busy, Report};
 use gradedyke_turns::membership;
+use gradedyke_turns::message::{self, Reply, Request};
 use gradedyke_turns::mirror::{Item, Mirror};
 use gradedyke_turns::quorum::{Ask, Quorum, Refusal};
 use gradedyke_turns::record::{Id, Record, Reserved, Settled, Turn};
@@ -70,7 +73,7 @@
             nodes.push(Node::start(folder, &format!("n{number}"), &mut tasks).await);
         }
         let mirror = Mirror::new(&[""]);
-        let quorum = Quorum::new(mirror.clone(), "here");
+        let quorum = Quorum::new(mirror.clone(), "here", None);
         let group = Self {
             nodes,
             mirror,
@@ -117,6 +120,7 @@
             reserve: Some((reserved, budget)),
             parent: None,
             load: Report::default(),
+            time: Duration::from_secs(1),
             until: soon(),
         };
         self.quorum.begin(&ask).await.map(|_| ())
@@ -151,6 +155,7 @@
             reserve: None,
             parent: Some(id(parent)),
             load: Report::default(),
+            time: Duration::from_secs(1),
             until: soon(),
         };
         let chain = self.quorum.begin(&ask).await;
@@ -253,12 +258,14 @@
         parent: None,
         load: Report {
             entry,
+            address: None,
             busy: vec![Busy {
                 server: 7,
                 requests,
                 tokens: 10,
             }],
         },
+        time: Duration::from_secs(1),
         until: soon(),
     };
     let alone = group.quorum.begin(&ask(1, 2)).await.unwrap().load;
@@ -273,3 +280,35 @@
     }
     assert_eq!(told.unwrap()[0].requests, 2);
 }
+
+#[tokio::test]
+async fn an_entry_that_is_cut_off_gets_through_by_another() {
+    let mut group = Group::start(3).await;
+    group.keep("a", None).await.unwrap();
+    // The neighbour reaches the keepers.
+    let neighbour = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = neighbour.local_addr().unwrap();
+    let forwarder = Arc::new(Forwarder::new(group.quorum.clone()));
+    let stop = CancellationToken::new();
+    let serving = gradedyke_peer::server::serve(neighbour, forwarder, stop.clone());
+    group.tasks.spawn(serving);
+    // The direct way ends at a listener that never answers, or nowhere.
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nowhere = closed.local_addr().unwrap();
+    drop(closed);
+    let keeper = group.nodes[0].member.address;
+    for direct in [silent.local_addr().unwrap(), nowhere] {
+        let way = Way::new(keeper, Client::new(direct), vec![Client::new(address)]);
+        let request = message::encode(&Request::Chain(id("a")));
+        let reply = way.call(request, Duration::from_secs(5)).await.unwrap();
+        let Some(Reply::Chain(Some(chain))) = message::decode(&reply) else {
+            panic!("no conversation by way of {direct}");
+        };
+        assert_eq!(chain.body, "a?a!");
+    }
+    // An entry passes nothing on but to keepers.
+    let way = Way::new(nowhere, Client::new(nowhere), vec![Client::new(address)]);
+    let hello = message::encode(&Request::Hello);
+    assert_eq!(way.call(hello, Duration::from_secs(5)).await, None);
+}
