--- a/crates/gradedyke-cli/src/logs.rs
+++ b/crates/gradedyke-cli/src/logs.rs
@@ -1,5 +1,6 @@
 //! Logs: one line of key=value pairs for each event, on standard error.
 
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -25,14 +26,38 @@
 /// some 200 bytes, so that they take less than a megabyte.
 const LINES: usize = 4_096;
 
+/// The queue of lines.
+pub struct Queue {
+    // Dropping it empties the queue.
+    _guard: WorkerGuard,
+    dropped: ErrorCounter,
+    told: usize,
+}
+
+impl Queue {
+    /// Says how many lines were dropped, if that has grown since it was last
+    /// said.
+    pub fn tell(&mut self) {
+        let dropped = self.dropped.dropped_lines();
+        if dropped > self.told {
+            tracing::warn!(
+                event = "log_lines_dropped",
+                total = dropped,
+                remedy = "read standard output faster, or raise the level"
+            );
+            self.told = dropped;
+        }
+    }
+}
+
 /// Starts to write events to standard output through a queue of bounded length:
 /// nothing ever waits for the reader. Lines beyond it are dropped, and counted.
-/// The queue is emptied when the guard is dropped.
-pub fn start_bounded(level: &str) -> tracing_appender::non_blocking::WorkerGuard {
-    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+pub fn start_bounded(level: &str) -> Queue {
+    let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LINES)
         .finish(std::io::stdout());
+    let dropped = writer.error_counter();
     let filter = EnvFilter::try_from_env(VARIABLE).unwrap_or_else(|_| EnvFilter::new(level));
     let layer = tracing_logfmt::builder()
         .with_span_path(false)
@@ -43,5 +68,9 @@
         .with(filter)
         .with(layer)
         .try_init();
-    guard
+    Queue {
+        _guard: guard,
+        dropped,
+        told: 0,
+    }
 }
--- a/crates/gradedyke-cli/src/serve.rs
+++ b/crates/gradedyke-cli/src/serve.rs
@@ -28,14 +28,14 @@
         ))
     })?;
     let settings = read(&file).map_err(Failure::Usage)?;
-    let _flush = logs::start_bounded("info");
+    let mut log = logs::start_bounded("info");
     // One core is what an instance has; a second thread would only be switched
     // to and fro.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Failure::Failed(e.into()))?;
-    runtime.block_on(run(&role, &file, settings))
+    runtime.block_on(run(&role, &file, settings, &mut log))
 }
 
 fn read(file: &Path) -> Result<Settings, String> {
@@ -45,7 +45,12 @@
     Settings::read(&name, &text).map_err(|e| e.to_string())
 }
 
-async fn run(role: &str, file: &Path, settings: Settings) -> Result<(), Failure> {
+async fn run(
+    role: &str,
+    file: &Path,
+    settings: Settings,
+    log: &mut logs::Queue,
+) -> Result<(), Failure> {
     let io = |e: std::io::Error| Failure::Failed(e.into());
     let mut term = signal(SignalKind::terminate()).map_err(io)?;
     let mut int = signal(SignalKind::interrupt()).map_err(io)?;
@@ -75,6 +80,7 @@
             }
             _ = hup.recv() => {}
             () = tokio::time::sleep(LOOK) => {
+                log.tell();
                 let now = modified(file);
                 if now == changed {
                     continue;
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -87,6 +87,9 @@
     if !answer.last {
         choice.pool.rest(link, answer.idle, Instant::now());
     }
+    tracing::info!(event = "answered", request = %call.id, server = %choice.id,
+        status = head.status.as_u16(), bytes = bytes.len(),
+        ms = call.arrived.elapsed().as_millis());
     let mut reply = Response::new(body::full(bytes));
     *reply.status_mut() = head.status;
     *reply.headers_mut() = entry.dialect.inbound(&head.headers);
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -233,7 +233,10 @@
         let listener = TcpListener::bind(peer).await;
         let listener = listener
             .wrap_err_with(|| format!("cannot listen on {peer}; free it or change listen.peer"))?;
-        let peer = listener.local_addr()?;
+        let peer = settings
+            .listen
+            .peer_public
+            .unwrap_or(listener.local_addr()?);
         tracing::info!(
             event = "starting",
             role = "keeper",
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -20,6 +20,9 @@
     /// For other processes of the system (keepers).
     #[serde(default)]
     pub peer: Option<SocketAddr>,
+    /// Where others reach `peer`, if that is another address.
+    #[serde(default)]
+    pub peer_public: Option<SocketAddr>,
     /// For metrics.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
--- a/crates/gradedyke-turns/src/membership.rs
+++ b/crates/gradedyke-turns/src/membership.rs
@@ -11,7 +11,7 @@
 //! it has followed so many that every majority has one of them, at a time when
 //! they already refuse requests of the view before.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use crate::index::Position;
 use crate::mirror::Mirror;
 use crate::replica::Replica;
 use crate::sync::{Follower, Progress};
@@ -36,6 +37,9 @@
 /// How long a replica that is to be emptied waits for a spare to take its place:
 /// the spare's look, its copying, and its counting.
 const SPARE: Duration = Duration::from_millis(2_500);
+/// How far behind another may be and still have followed: the time after which
+/// a follower asks for what has not reached it by itself, and a round.
+const LAG: Duration = Duration::from_millis(500);
 /// How often the view is looked at when nothing changed.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -212,6 +216,8 @@
     told: Option<bool>,
     /// Since when this replica is to be emptied.
     leave: Option<Instant>,
+    /// Where the arrivals ended at the last looks, the oldest first.
+    ends: VecDeque<(Instant, Position)>,
 }
 
 struct Followed {
@@ -236,6 +242,7 @@
             tasks: JoinSet::new(),
             told: None,
             leave: None,
+            ends: VecDeque::new(),
         }
     }
 
@@ -266,13 +273,14 @@
         let leave = leaving.contains(&self.config.name);
         self.leave = leave.then(|| self.leave.unwrap_or(now));
         let progress = self.progress();
+        let followed = self.leave.is_some() && self.followed(&view, now);
         let sight = Sight {
             view: &view,
             disk: self.replica.disk(),
             progress: &progress,
             leave: self.leave,
             leaving: &leaving,
-            followed: self.followed(&view),
+            followed,
         };
         let proposal = decide(&self.config, &sight, now);
         if let Some(next) = proposal {
@@ -293,8 +301,19 @@
         followers.map(progress).collect()
     }
 
-    fn followed(&self, view: &View) -> bool {
+    /// Whether all others that count have followed what arrived here up to a
+    /// moment ago. Under load something always arrives; the newest records are
+    /// on their way to all others too, from whoever wrote them.
+    fn followed(&mut self, view: &View, now: Instant) -> bool {
         let end = self.replica.index().end();
+        self.ends.push_back((now, end));
+        while self.ends.len() > 1 && now - self.ends[1].0 >= LAG {
+            self.ends.pop_front();
+        }
+        let (since, end) = self.ends[0];
+        if now - since < LAG {
+            return false;
+        }
         let own = self.replica.disk();
         let mut others = view.active().filter(|m| m.disk != own);
         others.all(|m| self.replica.followed(m.disk, end))
