Detours only where the direct way is silent; slow keepers are not asked again

Change: a detour is tried where nothing at all has come by the direct way for 150 ms; an attempt begins again only where keepers cannot be reached. Also: a configuration is read once for each revision, and only changed servers are.

--- a/crates/gradedyke-cli/src/help.rs
+++ b/crates/gradedyke-cli/src/help.rs
@@ -8,6 +8,7 @@
 commands:
   demo      run everything in one process and show what it does
   run       run the roles that a settings file names
+  serve     run one role on the users' platform
   settings  check settings, or put them in force
   status    tell of an instance and the members it sees
   standin   run a stand-in for what surrounds gradedyke, to try things out
@@ -40,12 +41,24 @@
 once callers may be sent here. See docs/OPERATING.md for the settings.
 ";
 
+const SERVE: &str = "\
+usage: gradedyke serve entry [--settings FILE]
+       gradedyke serve keeper [--settings FILE]
+
+entry   takes callers' requests; keeps nothing
+keeper  keeps turns and budgets in its data folder
+
+Without --settings the file is the one that the platform names. SIGTERM drains
+within the grace of the settings; SIGHUP, or a change of the file, reads it anew.
+Logs go to standard output, metrics to listen.metrics. See docs/OPERATIONS.md.
+";
+
 const SETTINGS: &str = "\
-usage: gradedyke settings check FILE [--instance]
+usage: gradedyke settings check FILE [--instance | --serve]
        gradedyke settings apply FILE --admin ADDRESS --key KEY [--if-revision N]
 
-check   reads FILE as the operators' tree, or with --instance as the settings
-        of one process, and names every fault with file, line, path and remedy
+check   reads FILE as the operators' tree, with --instance as the settings of
+        `run`, or with --serve as those of `serve`, and names every fault with file, line, path and remedy
 apply   puts the tree in FILE in force after revision N (by default the one in
         force now) and prints the new revision
 ";
@@ -77,6 +90,7 @@
     match topic {
         "demo" => DEMO,
         "run" => RUN,
+        "serve" => SERVE,
         "settings" => SETTINGS,
         "status" => STATUS,
         "standin" => STANDIN,
--- a/crates/gradedyke-cli/src/settings.rs
+++ b/crates/gradedyke-cli/src/settings.rs
@@ -23,9 +23,13 @@
 
 fn check_file(args: &mut pico_args::Arguments) -> Result<(), Failure> {
     let instance = args.contains("--instance");
+    let serve = args.contains("--serve");
     let (file, text) = read(args)?;
     no_more(args)?;
-    let errors = if instance {
+    let errors = if serve {
+        let read = gradedyke_gateway::settings::Settings::read(&file, &text);
+        read.err().into_iter().collect()
+    } else if instance {
         Instance::read(&file, &text).err().into_iter().collect()
     } else {
         check::read_with(&file, &text, routing::faults)
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -12,7 +12,7 @@
 pub mod turn;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -53,6 +53,8 @@
     pub quorum: Arc<Quorum>,
     /// Cancelled when the process begins to stop.
     pub drain: CancellationToken,
+    /// The revision of the configuration that was read last.
+    pub configured: AtomicU64,
     /// Requests in progress.
     pub active: AtomicUsize,
 }
@@ -78,6 +80,11 @@
         let Some((value, revision)) = self.mirror.get(self.dialect.config_key()) else {
             return;
         };
+        // Other keys change far more often, and a large configuration takes a
+        // while to read.
+        if self.configured.fetch_max(revision, Ordering::Relaxed) >= revision {
+            return;
+        }
         match self.dialect.config(&value) {
             Ok(config) => self.adopt(config, revision),
             Err(error) => tracing::warn!(event = "config_not_read", revision, %error),
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use gradedyke_turns::load::{self, Busy, Report};
-use gradedyke_turns::mirror::Mirror;
+use gradedyke_turns::mirror::Item;
 use gradedyke_turns::record::Id;
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
@@ -180,21 +180,21 @@
         servers.servers.values().filter(listed).count()
     }
 
-    /// Brings the fleet in line with the mirror of the directory.
-    pub fn refresh(&self, mirror: &Mirror, dialect: &dyn Dialect) {
+    /// Takes in an item of the directory that changed, which was learned then.
+    pub fn apply(&self, item: &Item, learned: Instant, dialect: &dyn Dialect) {
+        let name = item.key.strip_prefix(dialect.server_prefix());
+        let Some(id) = name.and_then(Id::parse) else {
+            return;
+        };
         let mut servers = self.lock();
-        for (item, learned) in mirror.list(dialect.server_prefix()) {
-            let Some(id) = Id::parse(&item.key[dialect.server_prefix().len()..]) else {
-                continue;
-            };
-            match item.value {
-                Some(value) => match dialect.server(&item.key, &value) {
-                    Ok(server) => servers.list(server, learned),
-                    Err(error) => {
-                        tracing::warn!(event = "server_not_read", server = %id, %error);
-                    }
-                },
-                None => servers.vanish(&id, learned),
+        let Some(value) = &item.value else {
+            servers.vanish(&id, learned);
+            return;
+        };
+        match dialect.server(&item.key, value) {
+            Ok(server) => servers.list(server, learned),
+            Err(error) => {
+                tracing::warn!(event = "server_not_read", server = %id, %error);
             }
         }
     }
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -183,6 +183,7 @@
             fleet: Fleet::new(&settings.data_centre, own, policy),
             quorum: quorum.clone(),
             drain: CancellationToken::new(),
+            configured: AtomicU64::new(0),
             active: AtomicUsize::new(0),
         });
         let stop = CancellationToken::new();
@@ -355,11 +356,16 @@
 /// Brings configuration and fleet in line with the mirror.
 async fn refresh(entry: Arc<Entry>, stop: CancellationToken) {
     let mut changed = entry.mirror.watch();
+    let mut position = 0;
     loop {
         tokio::select! {
             _ = changed.changed() => {
                 entry.configure();
-                entry.fleet.refresh(&entry.mirror, &*entry.dialect);
+                let (items, next) = entry.mirror.since(position);
+                for (item, learned) in items {
+                    entry.fleet.apply(&item, learned, &*entry.dialect);
+                }
+                position = next;
             }
             () = tokio::time::sleep(LOOK) => entry.quorum.mend(),
             () = stop.cancelled() => return,
--- a/crates/gradedyke-peer/src/client.rs
+++ b/crates/gradedyke-peer/src/client.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -44,6 +44,25 @@
     TimedOut(SocketAddr, Duration),
 }
 
+/// When the last reply arrived.
+struct Heard {
+    base: Instant,
+    /// Milliseconds since `base`.
+    ms: AtomicU64,
+}
+
+impl Heard {
+    fn note(&self, now: Instant) {
+        let ms = now.saturating_duration_since(self.base).as_millis();
+        self.ms
+            .store(u64::try_from(ms).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    fn at(&self) -> Instant {
+        self.base + Duration::from_millis(self.ms.load(Ordering::Relaxed))
+    }
+}
+
 struct Call {
     body: Bytes,
     reply: oneshot::Sender<Result<Bytes, Error>>,
@@ -56,6 +75,7 @@
     address: SocketAddr,
     calls: mpsc::Sender<Call>,
     down: Arc<AtomicBool>,
+    heard: Arc<Heard>,
     _task: Arc<DropGuard>,
 }
 
@@ -74,10 +94,15 @@
         let (calls, queue) = mpsc::channel(QUEUE);
         let stop = CancellationToken::new();
         let down = Arc::new(AtomicBool::new(false));
+        let heard = Arc::new(Heard {
+            base: Instant::now(),
+            ms: AtomicU64::new(0),
+        });
         let link = Link {
             address,
             queue,
             down: down.clone(),
+            heard: heard.clone(),
         };
         let stopped = stop.clone();
         tokio::spawn(async move {
@@ -90,6 +115,7 @@
             address,
             calls,
             down,
+            heard,
             _task: Arc::new(stop.drop_guard()),
         }
     }
@@ -104,6 +130,12 @@
         self.down.load(Ordering::Relaxed)
     }
 
+    /// When the last reply arrived: a peer that answers others is slow, not cut
+    /// off.
+    pub fn heard(&self) -> Instant {
+        self.heard.at()
+    }
+
     /// Makes a call and waits for its reply for at most `time`.
     ///
     /// # Errors
@@ -130,6 +162,7 @@
     address: SocketAddr,
     queue: mpsc::Receiver<Call>,
     down: Arc<AtomicBool>,
+    heard: Arc<Heard>,
 }
 
 impl Link {
@@ -209,6 +242,7 @@
                         return Err(io::Error::from(io::ErrorKind::UnexpectedEof));
                     };
                     heard = Instant::now();
+                    self.heard.note(heard);
                     settle(pending, frame?)?;
                 }
                 call = self.queue.recv() => {
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -12,13 +12,15 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use gradedyke_peer::{Client, Handler};
+use tokio::time::Instant;
 
 use crate::message::{self, Reply, Request};
 use crate::quorum::Quorum;
 
-/// How long the direct way has alone: ten times what an exchange takes with a
-/// sync, and little beside the time to a first token.
-const ALONE: Duration = Duration::from_millis(50);
+/// Silence of the direct way after which a detour is tried: thirty times what an
+/// exchange takes with a sync. A keeper that answers others within that time is
+/// slow, and detours would make it slower.
+const SILENCE: Duration = Duration::from_millis(150);
 /// Longest time for a request that is passed on.
 const CALL: Duration = Duration::from_millis(800);
 
@@ -119,10 +121,21 @@
         reply.ok()
     }
 
-    async fn around(&self, body: Bytes) -> Option<Bytes> {
-        if !self.direct.is_down() {
-            tokio::time::sleep(ALONE).await;
+    /// Waits until the direct way is known to be broken or has been silent.
+    async fn silence(&self) {
+        let asked = Instant::now();
+        while !self.direct.is_down() {
+            let since = self.direct.heard().max(asked);
+            let silent = since.elapsed();
+            if silent >= SILENCE {
+                return;
+            }
+            tokio::time::sleep(SILENCE - silent).await;
         }
+    }
+
+    async fn around(&self, body: Bytes) -> Option<Bytes> {
+        self.silence().await;
         for neighbour in &self.detours {
             let reply = ask(neighbour, self.keeper, body.clone()).await;
             if reply.is_some() {
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -126,6 +126,15 @@
             .collect()
     }
 
+    /// The items that changed after `change`, each with the time at which that was
+    /// learned, and the point to go on from.
+    pub fn since(&self, change: u64) -> (Vec<(Item, Instant)>, u64) {
+        let state = self.lock();
+        let fresh = state.items.values().filter(|h| h.change > change);
+        let fresh = fresh.map(|h| (h.item.clone(), h.learned)).collect();
+        (fresh, state.change)
+    }
+
     /// All items, without those that were deleted.
     pub fn items(&self) -> Vec<Item> {
         let state = self.lock();
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -233,7 +233,10 @@
             };
             let missed = matches!(result, Err(Refusal::NoQuorum { .. }));
             let now = Instant::now();
-            if missed && self.lately_lost(now) && now + AGAIN < ask.until {
+            // Keepers that are there but slow are not asked again: that would make
+            // them slower.
+            let again = missed && !self.reachable() && self.lately_lost(now);
+            if again && now + AGAIN < ask.until {
                 tokio::time::sleep(AGAIN).await;
                 continue;
             }
