Entries tell each other of servers where requests failed

Ruled out: health checks (they lie, and are priced).

Change: the report of what is in progress carries where requests failed in the last 2 s; such a server gets nothing that must not run twice while there are others, and what may be repeated tries it out. A connection that takes no bytes for 500 ms is dropped by the answering side too.

--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -141,7 +141,7 @@
     let ask = Ask {
         reserve,
         parent,
-        load: entry.fleet.report(),
+        load: entry.fleet.report(Instant::now()),
         time: BEGIN,
         until: call.until.min(Instant::now() + RESTART),
     };
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -29,6 +29,14 @@
 const REST_FIRST: Duration = Duration::from_millis(500);
 /// The longest such rest.
 const REST_LAST: Duration = Duration::from_secs(4);
+/// How many times as long as it rests a server is not trusted with requests that
+/// must not run twice; those that may be repeated try it out meanwhile.
+const SUSPECT: u32 = 4;
+/// How long a failure is told to other entries.
+const LATELY: Duration = Duration::from_millis(2_000);
+/// Other entries where a request failed lately from which on a server gets none
+/// that may be repeated either: more than one, because single answers get lost.
+const AGREED: u32 = 3;
 /// Time after the directory's return in which living servers write their items
 /// again: twice their heartbeat, and the way.
 const RETURN: Duration = Duration::from_millis(2_500);
@@ -80,6 +88,10 @@
     others: Busy,
     failures: u32,
     rests_until: Option<Instant>,
+    /// Until then it is not trusted with what must not run twice.
+    suspect_until: Option<Instant>,
+    /// When a request last failed by its fault.
+    failed: Option<Instant>,
     cold_until: Instant,
     /// Average time to the head of an answer, in milliseconds.
     time_ms: Option<f64>,
@@ -238,14 +250,16 @@
         })
     }
 
-    /// What this entry has in progress.
-    pub fn report(&self) -> Report {
+    /// What this entry has in progress, and where requests failed lately.
+    pub fn report(&self, now: Instant) -> Report {
         let servers = self.lock();
-        let busy = servers.servers.values().filter(|k| k.in_flight > 0);
+        let told = |k: &&Known| k.in_flight > 0 || k.failed_lately(now);
+        let busy = servers.servers.values().filter(told);
         let busy = busy.map(|known| Busy {
             server: load::server(&known.server.id),
             requests: known.in_flight,
             tokens: known.tokens,
+            failures: u32::from(known.failed_lately(now)),
         });
         Report {
             entry: self.boot,
@@ -298,6 +312,7 @@
         if let Some(known) = self.lock().servers.get_mut(key) {
             known.failures = 0;
             known.rests_until = None;
+            known.suspect_until = None;
             let ms = time.as_secs_f64() * 1e3;
             let before = known.time_ms.unwrap_or(ms);
             known.time_ms = Some(before + (ms - before) * NEWEST);
@@ -315,6 +330,8 @@
         let rest = rest.min(REST_LAST);
         known.failures += 1;
         known.rests_until = Some(now + rest);
+        known.suspect_until = Some(now + rest * SUSPECT);
+        known.failed = Some(now);
         known.pool.clear();
         tracing::info!(event = "server_rests", server = %known.server.id, why,
             failures = known.failures, rest_ms = rest.as_millis());
@@ -354,8 +371,17 @@
         self.seen.insert(object.clone(), now);
     }
 
-    fn rests(&self, now: Instant) -> bool {
-        self.rests_until.is_some_and(|until| until > now)
+    fn failed_lately(&self, now: Instant) -> bool {
+        self.failed.is_some_and(|at| now - at < LATELY)
+    }
+
+    /// Whether others should run the request, as long as there are any.
+    fn doubtful(&self, question: &Question<'_>) -> bool {
+        let over = |until: Option<Instant>| until.is_none_or(|until| until <= question.now);
+        if question.repeatable {
+            return !over(self.rests_until) || self.others.failures >= AGREED;
+        }
+        !over(self.rests_until) || !over(self.suspect_until) || self.others.failures > 0
     }
 }
 
@@ -391,6 +417,8 @@
             others: Busy::default(),
             failures: 0,
             rests_until: None,
+            suspect_until: None,
+            failed: None,
             cold_until: learned + server.cold,
             time_ms: None,
             seen: HashMap::new(),
@@ -433,7 +461,7 @@
         let rank = |key: &Key| {
             let known = &self.servers[*key];
             let vanished = known.state != State::Listed;
-            (vanished, known.rests(question.now))
+            (vanished, known.doubtful(question))
         };
         let open = |key: &&Key| {
             let known = &self.servers[**key];
--- a/crates/gradedyke-peer/src/server.rs
+++ b/crates/gradedyke-peer/src/server.rs
@@ -16,6 +16,9 @@
 
 /// Replies that may wait for the connection before calls are taken more slowly.
 const REPLIES: usize = 256;
+/// Longest time in which a connection takes no bytes before it is given up:
+/// replies to a peer that does not read would fill the memory.
+const SEND: std::time::Duration = std::time::Duration::from_millis(500);
 /// Wait after a failed accept, such as when descriptors have run out.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
@@ -76,11 +79,14 @@
                 });
             }
             Some(reply) = receiver.recv() => {
-                replies.feed(reply).await?;
-                while let Ok(reply) = receiver.try_recv() {
+                let written = tokio::time::timeout(SEND, async {
                     replies.feed(reply).await?;
-                }
-                SinkExt::<Bytes>::flush(&mut replies).await?;
+                    while let Ok(reply) = receiver.try_recv() {
+                        replies.feed(reply).await?;
+                    }
+                    SinkExt::<Bytes>::flush(&mut replies).await
+                });
+                written.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
             }
             Some(_) = calls.join_next() => {}
         }
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -6,7 +6,7 @@
 //! other from the keepers, in time before a cut.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -21,8 +21,9 @@
 /// exchange takes with a sync. A keeper that answers others within that time is
 /// slow, and detours would make it slower.
 const SILENCE: Duration = Duration::from_millis(150);
-/// Longest time for a request that is passed on.
-const CALL: Duration = Duration::from_millis(800);
+/// Longest time for a request that is passed on. The neighbour may be cut off
+/// too, and another is better than waiting.
+const CALL: Duration = Duration::from_millis(250);
 
 /// Passes requests of other entries on to keepers.
 pub struct Forwarder {
@@ -83,15 +84,34 @@
     keeper: SocketAddr,
     direct: Client,
     detours: Vec<Client>,
+    /// The neighbour that passed a request on last, for the next one.
+    worked: Arc<Mutex<Option<SocketAddr>>>,
 }
 
 impl Way {
     /// The ways to `keeper`: its own client, and entries that may reach it.
-    pub fn new(keeper: SocketAddr, direct: Client, detours: Vec<Client>) -> Self {
+    /// `worked` remembers which of these did.
+    pub fn new(
+        keeper: SocketAddr,
+        direct: Client,
+        mut detours: Vec<Client>,
+        worked: Arc<Mutex<Option<SocketAddr>>>,
+    ) -> Self {
+        let last = *worked.lock().unwrap_or_else(PoisonError::into_inner);
+        detours.sort_by_key(|d| Some(d.address()) != last);
         Self {
             keeper,
             direct,
             detours,
+            worked,
+        }
+    }
+
+    fn note(&self, neighbour: SocketAddr) {
+        let mut worked = self.worked.lock().unwrap_or_else(PoisonError::into_inner);
+        if *worked != Some(neighbour) {
+            tracing::info!(event = "detour_found", %neighbour, keeper = %self.keeper);
+            *worked = Some(neighbour);
         }
     }
 
@@ -139,6 +159,7 @@
         for neighbour in &self.detours {
             let reply = ask(neighbour, self.keeper, body.clone()).await;
             if reply.is_some() {
+                self.note(neighbour.address());
                 return reply;
             }
         }
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -148,6 +148,7 @@
             boot,
             since,
             wait_ms,
+            address: quorum.own(),
         };
         let reply = client.call(message::encode(&request), CALL).await;
         let Ok(reply) = reply else {
--- a/crates/gradedyke-turns/src/load.rs
+++ b/crates/gradedyke-turns/src/load.rs
@@ -29,7 +29,7 @@
     u32::try_from(hasher.finish() >> 32).unwrap_or_default()
 }
 
-/// What is in progress at one server.
+/// What is in progress at one server, and how it does.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Busy {
     /// The server.
@@ -38,6 +38,8 @@
     pub requests: u32,
     /// Tokens of their prompts.
     pub tokens: u64,
+    /// Entries where a request failed lately by the server's fault.
+    pub failures: u32,
 }
 
 /// What one entry has in progress.
@@ -73,7 +75,12 @@
         self.reports
             .retain(|_, (at, _)| now.saturating_duration_since(*at) < FRESH);
         self.reports.insert(report.entry, (now, report.busy));
-        if let Some(address) = report.address {
+        self.note(report.address, now);
+    }
+
+    /// Notes an entry that runs.
+    pub fn note(&mut self, address: Option<SocketAddr>, now: Instant) {
+        if let Some(address) = address {
             self.addresses.insert(address, now);
         }
     }
@@ -94,7 +101,7 @@
     /// use gradedyke_turns::load::{Board, Busy, Report};
     ///
     /// let now = tokio::time::Instant::now();
-    /// let busy = |requests| vec![Busy { server: 7, requests, tokens: 100 }];
+    /// let busy = |requests| vec![Busy { server: 7, requests, tokens: 100, failures: 0 }];
     /// let mut board = Board::default();
     /// board.put(Report { entry: 1, address: None, busy: busy(2) }, now);
     /// board.put(Report { entry: 2, address: None, busy: busy(3) }, now);
@@ -112,6 +119,7 @@
             sum.server = busy.server;
             sum.requests += busy.requests;
             sum.tokens += busy.tokens;
+            sum.failures += busy.failures;
         }
         sums.into_values().collect()
     }
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -72,6 +72,8 @@
         since: u64,
         /// How long to wait for one, in milliseconds.
         wait_ms: u32,
+        /// Where the asker passes requests of others on, if it does.
+        address: Option<SocketAddr>,
     },
 }
 
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -27,8 +27,6 @@
 /// How long the nearest replica's copy of a conversation is waited for after
 /// the majority has answered, before another is asked.
 const PATIENCE: Duration = Duration::from_millis(25);
-/// Neighbours that are tried, one after the other, for a detour.
-const DETOURS: usize = 2;
 /// Wait before a majority that did not answer is asked again.
 const AGAIN: Duration = Duration::from_millis(40);
 /// How long after its loss a majority is waited for at all: what replicas that
@@ -98,6 +96,8 @@
     lost: Mutex<Option<Instant>>,
     /// This process's own address, if it passes requests on.
     own: Option<SocketAddr>,
+    /// The neighbour that passed a request on last.
+    worked: Arc<Mutex<Option<SocketAddr>>>,
     /// Members that were reached when it was last tried, by any way.
     detours: AtomicUsize,
 }
@@ -118,10 +118,16 @@
             view: watch::Sender::new(View::default()),
             lost: Mutex::default(),
             own,
+            worked: Arc::default(),
             detours: AtomicUsize::new(0),
         })
     }
 
+    /// Where this process passes requests of others on, if it does.
+    pub fn own(&self) -> Option<SocketAddr> {
+        self.own
+    }
+
     /// The latest view known.
     pub fn view(&self) -> View {
         if let Some((view, _)) = membership::read(&self.mirror) {
@@ -153,9 +159,9 @@
     fn way(&self, address: SocketAddr) -> Way {
         let mut neighbours = self.mirror.neighbours();
         neighbours.retain(|n| Some(*n) != self.own);
-        neighbours.truncate(DETOURS);
         let detours = neighbours.into_iter().map(|n| self.client(n));
-        Way::new(address, self.client(address), detours.collect())
+        let worked = self.worked.clone();
+        Way::new(address, self.client(address), detours.collect(), worked)
     }
 
     /// Tries again to reach the members that could not be reached: a process
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -308,8 +308,12 @@
             boot,
             since,
             wait_ms,
+            address,
         } = request
         {
+            if let Some(replica) = &*self.replica.borrow() {
+                replica.board().note(address, Instant::now());
+            }
             let wait = Duration::from_millis(wait_ms.into());
             return self.follow(boot, since, wait).await;
         }
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -263,6 +263,7 @@
                 server: 7,
                 requests,
                 tokens: 10,
+                failures: 0,
             }],
         },
         time: Duration::from_secs(1),
@@ -299,7 +300,12 @@
     drop(closed);
     let keeper = group.nodes[0].member.address;
     for direct in [silent.local_addr().unwrap(), nowhere] {
-        let way = Way::new(keeper, Client::new(direct), vec![Client::new(address)]);
+        let way = Way::new(
+            keeper,
+            Client::new(direct),
+            vec![Client::new(address)],
+            Arc::default(),
+        );
         let request = message::encode(&Request::Chain(id("a")));
         let reply = way.call(request, Duration::from_secs(5)).await.unwrap();
         let Some(Reply::Chain(Some(chain))) = message::decode(&reply) else {
@@ -308,7 +314,12 @@
         assert_eq!(chain.body, "a?a!");
     }
     // An entry passes nothing on but to keepers.
-    let way = Way::new(nowhere, Client::new(nowhere), vec![Client::new(address)]);
+    let way = Way::new(
+        nowhere,
+        Client::new(nowhere),
+        vec![Client::new(address)],
+        Arc::default(),
+    );
     let hello = message::encode(&Request::Hello);
     assert_eq!(way.call(hello, Duration::from_secs(5)).await, None);
 }
