Close callers' connections on which nothing comes

Cause: the entry kept a caller's connection for ever, though the deployments bound how long it may rest; callers that vanished took descriptors. Change: a listener may have a limit for rests (30 s at entries). Test: gradedyke-http/tests/idle.

--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -57,6 +57,10 @@
 /// smallest instance in use (4,100), each caller taking up to one more towards
 /// a server.
 const CONNECTIONS: usize = 1_500;
+/// Rest after which a caller's connection is closed: twice what the deployments
+/// in use let callers rest (15 s), because it counts from the start of the last
+/// request.
+const REST: Duration = Duration::from_secs(30);
 /// The placement policy in use.
 const POLICY: &str = "cost";
 
@@ -208,6 +212,7 @@
         let config = Config {
             protocol: Protocol::Http1,
             connections: CONNECTIONS,
+            idle: Some(REST),
             ..Config::default()
         };
         let door = bind(caller, config.clone(), "listen.caller").await?;
--- a/crates/gradedyke-http/src/server.rs
+++ b/crates/gradedyke-http/src/server.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -47,6 +47,9 @@
     pub head: Duration,
     /// Most connections at a time; further ones wait to be accepted.
     pub connections: usize,
+    /// Time from a connection's last request on after which it is closed, if
+    /// nothing is in progress on it then.
+    pub idle: Option<Duration>,
 }
 
 impl Default for Config {
@@ -55,6 +58,7 @@
             protocol: Protocol::Http1,
             head: Duration::from_secs(5),
             connections: 8_192,
+            idle: None,
         }
     }
 }
@@ -135,6 +139,25 @@
     }
 }
 
+/// Waits until no request has come for the time `idle`, or until `stop`.
+async fn rested(
+    mut requests: watch::Receiver<()>,
+    idle: Option<Duration>,
+    stop: &CancellationToken,
+) {
+    let idle = idle.unwrap_or(Duration::MAX);
+    let quiet = async {
+        while tokio::time::timeout(idle, requests.changed())
+            .await
+            .is_ok_and(|r| r.is_ok())
+        {}
+    };
+    tokio::select! {
+        () = quiet => {}
+        () = stop.cancelled() => {}
+    }
+}
+
 /// Serves one connection to its end.
 async fn converse(
     stream: TcpStream,
@@ -144,8 +167,10 @@
 ) {
     // Small writes carry tokens to people who wait for them.
     let _ = stream.set_nodelay(true);
+    let (active, requests) = watch::channel(());
     let service = service_fn(move |request| {
         let handler = handler.clone();
+        active.send_replace(());
         async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
@@ -164,7 +189,7 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = stop.cancelled() => {
+        () = rested(requests, config.idle, &stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/gradedyke/src/kernel/process.rs
+++ b/crates/gradedyke/src/kernel/process.rs
@@ -65,6 +65,7 @@
             protocol: Protocol::Http1,
             head: Duration::from_millis(limits.head_ms),
             connections: limits.connections,
+            ..Config::default()
         };
         let peers = Config {
             protocol: Protocol::Both,
