Pass each event on as it comes; only the end of a stream waits for the keepers

Cause: the entry held each event until the next one came, because the last one had to wait until the turn was kept, and no event says that it is the last.

Ruled out: a short hold (it delays every event, and loses the race when the end is late).

Change: events are passed on at once; the end waits until the turn is on a majority of disks. A server's own failure is settled with no tokens (it kept its reservation). turn_refused names the parent.

--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -2,8 +2,8 @@
 //!
 //! A turn takes one exchange with the keepers before it is sent, which reserves
 //! its budget and brings what was said before, and one after its last event is
-//! here and before that event is passed on. So whatever a caller has had whole
-//! is on a majority of disks.
+//! here and before the stream is ended towards the caller. So whatever a caller
+//! has had whole is on a majority of disks. Events are passed on as they come.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -157,6 +157,7 @@
         }
         Err(error) => {
             tracing::info!(event = "turn_refused", request = %call.id,
+                parent = call.meta.parent.as_ref().map_or("none", |p| p.as_str()),
                 view = entry.quorum.view().version,
                 waited_ms = started.elapsed().as_millis(), %error);
             ledger.settle(entry, 0);
@@ -248,6 +249,10 @@
         metrics::counter!("gradedyke_streams_total", "end" => name).increment(1);
         match end {
             End::Whole => {
+                if !status.is_success() {
+                    // A server's own failure is no turn and gave no tokens.
+                    self.ledger.settle(&self.entry, 0);
+                }
                 if !answer.last {
                     self.choice.pool.rest(link, answer.idle, now);
                 }
@@ -268,9 +273,6 @@
 
     async fn pump(&mut self, status: StatusCode, mut incoming: Incoming) -> End {
         let mut events = Splitter::default();
-        // The last event waits until the turn is kept; which one that is shows
-        // only when the stream ends.
-        let mut held: Option<Bytes> = None;
         loop {
             let frame = tokio::select! {
                 frame = tokio::time::timeout_at(self.call.until, incoming.frame()) => frame,
@@ -287,28 +289,34 @@
             }
             while let Some(event) = events.next_event() {
                 self.note(&event);
-                if let Some(before) = held.replace(event)
-                    && !self.pass(before).await
-                {
+                if !self.pass(event).await {
                     return End::CallerLeft;
                 }
             }
         }
         let rest = Bytes::copy_from_slice(events.rest());
-        if status.is_success() && !rest.is_empty() {
+        if !status.is_success() {
+            // An error's body need not be made of events.
+            return self.finish(rest).await;
+        }
+        if !rest.is_empty() {
             return End::Broken("it ended within an event".to_owned());
         }
-        if status.is_success() && !self.keep().await {
+        // The end is what tells the caller that the turn is whole.
+        if !self.keep().await {
             return End::NotKept;
         }
-        for last in held.into_iter().chain(Some(rest).filter(|r| !r.is_empty())) {
-            if !self.pass(last).await {
-                return End::CallerLeft;
-            }
-        }
         End::Whole
     }
 
+    /// Passes the last bytes on.
+    async fn finish(&self, rest: Bytes) -> End {
+        if rest.is_empty() || self.pass(rest).await {
+            return End::Whole;
+        }
+        End::CallerLeft
+    }
+
     /// Takes an event into the turn.
     fn note(&mut self, event: &Bytes) {
         if let Some(data) = self.entry.dialect.event_data(event) {
@@ -319,7 +327,7 @@
         tracing::debug!(event = "event", request = %self.call.id, text = ?event);
     }
 
-    async fn pass(&mut self, event: Bytes) -> bool {
+    async fn pass(&self, event: Bytes) -> bool {
         self.sender.send(Ok(event)).await.is_ok()
     }
 
