A detour only where no majority of keepers answers directly

Change: a detour needs that no majority answers directly, and tries three neighbours. The test of detours has a keeper that is silent while others answer.

--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -25,6 +25,9 @@
 /// too, and another is better than waiting.
 const CALL: Duration = Duration::from_millis(250);
 
+/// Neighbours that are tried for one request, one after the other.
+const DETOURS: usize = 3;
+
 /// Passes requests of other entries on to keepers.
 pub struct Forwarder {
     quorum: Arc<Quorum>,
@@ -84,25 +87,33 @@
     keeper: SocketAddr,
     direct: Client,
     detours: Vec<Client>,
+    /// All keepers that count, and how many of them are a majority.
+    all: Vec<Client>,
+    quorum: usize,
     /// The neighbour that passed a request on last, for the next one.
     worked: Arc<Mutex<Option<SocketAddr>>>,
 }
 
 impl Way {
     /// The ways to `keeper`: its own client, and entries that may reach it.
-    /// `worked` remembers which of these did.
+    /// `worked` remembers which of these did. Of `all` keepers that count,
+    /// `quorum` must answer.
     pub fn new(
         keeper: SocketAddr,
         direct: Client,
         mut detours: Vec<Client>,
+        (all, quorum): (Vec<Client>, usize),
         worked: Arc<Mutex<Option<SocketAddr>>>,
     ) -> Self {
         let last = *worked.lock().unwrap_or_else(PoisonError::into_inner);
         detours.sort_by_key(|d| Some(d.address()) != last);
+        detours.truncate(DETOURS);
         Self {
             keeper,
             direct,
             detours,
+            all,
+            quorum,
             worked,
         }
     }
@@ -141,21 +152,24 @@
         reply.ok()
     }
 
-    /// Waits until the direct way is known to be broken or has been silent.
-    async fn silence(&self) {
+    /// Waits until it shows whether a detour is needed: only where no majority
+    /// answers directly. A single keeper that is slow or gone is not missed, and
+    /// detours to it would keep it slow.
+    async fn needed(&self) -> bool {
         let asked = Instant::now();
-        while !self.direct.is_down() {
-            let since = self.direct.heard().max(asked);
-            let silent = since.elapsed();
-            if silent >= SILENCE {
-                return;
-            }
-            tokio::time::sleep(SILENCE - silent).await;
+        let up = self.all.iter().filter(|c| !c.is_down()).count();
+        if up < self.quorum {
+            return self.direct.is_down();
         }
+        tokio::time::sleep(SILENCE).await;
+        let answered = self.all.iter().filter(|c| c.heard() >= asked).count();
+        answered < self.quorum && self.direct.heard() < asked
     }
 
     async fn around(&self, body: Bytes) -> Option<Bytes> {
-        self.silence().await;
+        if !self.needed().await {
+            return None;
+        }
         for neighbour in &self.detours {
             let reply = ask(neighbour, self.keeper, body.clone()).await;
             if reply.is_some() {
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -156,12 +156,15 @@
     }
 
     /// The ways to the keeper at `address`.
-    fn way(&self, address: SocketAddr) -> Way {
+    fn way(&self, view: &View, address: SocketAddr) -> Way {
         let mut neighbours = self.mirror.neighbours();
         neighbours.retain(|n| Some(*n) != self.own);
         let detours = neighbours.into_iter().map(|n| self.client(n));
+        let all = view.active().map(|m| self.client(m.address)).collect();
+        let majority = (all, view.quorum());
         let worked = self.worked.clone();
-        Way::new(address, self.client(address), detours.collect(), worked)
+        let direct = self.client(address);
+        Way::new(address, direct, detours.collect(), majority, worked)
     }
 
     /// Tries again to reach the members that could not be reached: a process
@@ -169,7 +172,7 @@
     pub fn mend(self: &Arc<Self>) {
         let view = self.view();
         let down = view.active().filter(|m| self.client(m.address).is_down());
-        let down: Vec<Way> = down.map(|m| self.way(m.address)).collect();
+        let down: Vec<Way> = down.map(|m| self.way(&view, m.address)).collect();
         let up = view.active().count() - down.len();
         if up >= view.quorum() && down.is_empty() {
             self.detours.store(0, Ordering::Relaxed);
@@ -198,7 +201,7 @@
     fn ask(&self, view: &View, request: impl Fn(&Member) -> Bytes) -> Answers {
         let (sender, receiver) = mpsc::channel(view.members.len().max(1));
         for member in &view.members {
-            let way = self.way(member.address);
+            let way = self.way(view, member.address);
             let body = request(member);
             let sender = sender.clone();
             let member = member.clone();
@@ -340,7 +343,7 @@
 
     async fn fetch(&self, holder: &Member, ask: &Ask) -> Option<Chain> {
         let request = Request::Chain(ask.parent.clone()?);
-        let way = self.way(holder.address);
+        let way = self.way(&self.view(), holder.address);
         let call = way.call(message::encode(&request), CALL);
         let reply = tokio::time::timeout(ask.time, call).await.ok()?;
         match message::decode(&reply?)? {
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -1,5 +1,6 @@
 //! Attempts and records with real replicas over loopback, some of them lost.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -299,27 +300,51 @@
     let nowhere = closed.local_addr().unwrap();
     drop(closed);
     let keeper = group.nodes[0].member.address;
-    for direct in [silent.local_addr().unwrap(), nowhere] {
-        let way = Way::new(
+    let around = |direct: SocketAddr, all: Vec<Client>| {
+        let detours = vec![Client::new(address)];
+        Way::new(
             keeper,
             Client::new(direct),
-            vec![Client::new(address)],
+            detours,
+            (all, 2),
             Arc::default(),
-        );
-        let request = message::encode(&Request::Chain(id("a")));
-        let reply = way.call(request, Duration::from_secs(5)).await.unwrap();
+        )
+    };
+    let request = message::encode(&Request::Chain(id("a")));
+    for direct in [silent.local_addr().unwrap(), nowhere] {
+        let way = around(direct, vec![Client::new(nowhere); 3]);
+        let reply = way.call(request.clone(), Duration::from_secs(5));
+        let reply = reply.await.unwrap();
         let Some(Reply::Chain(Some(chain))) = message::decode(&reply) else {
             panic!("no conversation by way of {direct}");
         };
         assert_eq!(chain.body, "a?a!");
     }
+    // One that is silent while a majority answers is not asked by detours.
+    let others = [1, 2].map(|n: usize| group.quorum.client(group.nodes[n].member.address));
+    let way = around(silent.local_addr().unwrap(), others.to_vec());
+    let hello = message::encode(&Request::Hello);
+    let answering = async {
+        loop {
+            for other in &others {
+                other
+                    .call(hello.clone(), soon() - Instant::now())
+                    .await
+                    .unwrap();
+            }
+        }
+    };
+    tokio::select! {
+        reply = way.call(request, Duration::from_secs(1)) => assert_eq!(reply, None),
+        () = answering => {}
+    }
     // An entry passes nothing on but to keepers.
     let way = Way::new(
         nowhere,
         Client::new(nowhere),
         vec![Client::new(address)],
+        (vec![Client::new(nowhere); 3], 2),
         Arc::default(),
     );
-    let hello = message::encode(&Request::Hello);
-    assert_eq!(way.call(hello, Duration::from_secs(5)).await, None);
+    assert_eq!(way.call(hello.clone(), Duration::from_secs(5)).await, None);
 }
