Follow a whole quorum before counting; let a newcomer's disk be the second copy

Reading the rule that lets one count showed a worse fault in the same place: of two that count beside a newcomer, one out of reach for 2 s was dropped although a record may be on it and on the newcomer's lost disk only; and of one that counts, even that one.

Change: a quorum is a majority of those that count, and no fewer than t + 1 of them while there are so many; a record must be on t + 1 disks of members of any kind. A newcomer counts once it is level with a whole quorum. One that may alone hold records is given up after 20 s only, with an error line.

--- a/crates/gradedyke-turns/src/membership.rs
+++ b/crates/gradedyke-turns/src/membership.rs
@@ -7,9 +7,10 @@
 //! to bear the losses tolerated take part, because each costs a copy; the rest
 //! are spares that enter when a place becomes vacant.
 //!
-//! Why dropping is safe: a record is on a majority. A replica counts only after
-//! it has followed so many that every majority has one of them, at a time when
-//! they already refuse requests of the view before.
+//! Why dropping is safe: any quorum of those that count has each record between
+//! them, also where a disk has been lost already. A replica counts only after it
+//! has followed a whole quorum, at a time when its members refuse requests of the
+//! view before.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -34,6 +35,11 @@
 /// The same where nobody waits for the place, and only the majority is to
 /// become smaller again.
 const SURPLUS: Duration = Duration::from_secs(8);
+/// How long a replica must be out of reach before it is given up although records
+/// may be on it alone: more disks were lost than is tolerated, or one was lost
+/// before another was level. Longer than any outage of a single instance in use
+/// (12 s), so that its disk is back in time as a rule.
+const GIVEN_UP: Duration = Duration::from_secs(20);
 /// How long a replica that is to be emptied waits for a spare to take its place:
 /// the spare's look, its copying, and its counting.
 const SPARE: Duration = Duration::from_millis(2_500);
@@ -181,8 +187,9 @@
             return None;
         }
     }
-    // Every majority must have one of those that were followed.
-    if level + view.quorum() <= view.active().count() {
+    // Fewer than a quorum may lack a record that only a lost one has.
+    let active = view.active().count();
+    if level < view.quorum().min(active) && !given_up(sight, level, now) {
         return None;
     }
     let mut members = view.members.clone();
@@ -193,6 +200,28 @@
     Some(view.next(members))
 }
 
+/// Whether the members that are lost have been so for so long that it is better
+/// to go on without them. At least one must have been followed.
+fn given_up(sight: &Sight<'_>, level: usize, now: Instant) -> bool {
+    let present = |m: &&Member| {
+        sight
+            .progress
+            .get(&m.disk)
+            .is_some_and(|p| p.lost.is_none())
+    };
+    let mut lost = sight.view.active().filter(|m| !present(m));
+    let over = lost.all(|m| sight.lost(m, GIVEN_UP, now));
+    if over && level > 0 {
+        tracing::error!(
+            event = "replicas_given_up",
+            view = sight.view.version,
+            level,
+            remedy = "more disks were lost than is tolerated; turns may be missing"
+        );
+    }
+    over && level > 0
+}
+
 /// Drops one that has been out of reach for long, where enough others remain.
 fn drop_surplus(sight: &Sight<'_>, now: Instant) -> Option<View> {
     let view = sight.view;
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 use crate::message::{self, Begin, Found, Reply, Request};
 use crate::mirror::Mirror;
 use crate::record::{Id, Record, Reserved};
-use crate::view::{Member, View};
+use crate::view::{Disk, Member, View};
 
 /// Longest time for a replica's reply that is still of use: several syncs of a
 /// slow disk. What arrives later is settled by the replicas among themselves.
@@ -98,8 +98,8 @@
     own: Option<SocketAddr>,
     /// The neighbour that passed a request on last.
     worked: Arc<Mutex<Option<SocketAddr>>>,
-    /// Members that were reached when it was last tried, by any way.
-    detours: AtomicUsize,
+    /// Whether enough members were reached by detours when that was last tried.
+    around: AtomicBool,
 }
 
 struct Answers {
@@ -119,7 +119,7 @@
             lost: Mutex::default(),
             own,
             worked: Arc::default(),
-            detours: AtomicUsize::new(0),
+            around: AtomicBool::new(false),
         })
     }
 
@@ -151,8 +151,8 @@
     /// by a detour.
     pub fn reachable(&self) -> bool {
         let view = self.view();
-        let up = view.active().filter(|m| !self.client(m.address).is_down());
-        up.count() >= view.quorum() || self.detours.load(Ordering::Relaxed) >= view.quorum()
+        let up = |m: &Member| !self.client(m.address).is_down();
+        view.enough(up) || self.around.load(Ordering::Relaxed)
     }
 
     /// The ways to the keeper at `address`.
@@ -171,19 +171,23 @@
     /// that is not ready gets no requests, and so would never try by itself.
     pub fn mend(self: &Arc<Self>) {
         let view = self.view();
-        let down = view.active().filter(|m| self.client(m.address).is_down());
-        let down: Vec<Way> = down.map(|m| self.way(&view, m.address)).collect();
-        let up = view.active().count() - down.len();
-        if up >= view.quorum() && down.is_empty() {
-            self.detours.store(0, Ordering::Relaxed);
+        let down = view.members.iter();
+        let down = down.filter(|m| self.client(m.address).is_down());
+        let down: Vec<(Disk, Way)> = down.map(|m| (m.disk, self.way(&view, m.address))).collect();
+        if down.is_empty() {
+            self.around.store(false, Ordering::Relaxed);
             return;
         }
         let quorum = self.clone();
         tokio::spawn(async move {
             let hello = message::encode(&Request::Hello);
-            let tries = down.iter().map(|way| way.call(hello.clone(), CALL));
-            let reached = join_all(tries).await.into_iter().flatten().count();
-            quorum.detours.store(up + reached, Ordering::Relaxed);
+            let tries = down.iter().map(|(_, way)| way.call(hello.clone(), CALL));
+            let replies = join_all(tries).await;
+            let tried = down.iter().zip(&replies);
+            let silent = tried.filter(|(_, reply)| reply.is_none());
+            let silent: Vec<Disk> = silent.map(|((disk, _), _)| *disk).collect();
+            let enough = view.enough(|m| !silent.contains(&m.disk));
+            quorum.around.store(enough, Ordering::Relaxed);
         });
     }
 
@@ -404,10 +408,13 @@
 /// What the replicas said so far.
 struct Gathered {
     needed: usize,
+    copies: usize,
     asked: usize,
     heard: usize,
     /// Active members that answered.
     answered: usize,
+    /// Members that have the record on disk.
+    kept: usize,
     attempts: HashMap<Id, Attempt>,
     chain: Option<Chain>,
     holder: Option<Member>,
@@ -419,6 +426,8 @@
     fn new(view: &View) -> Self {
         Self {
             needed: view.quorum(),
+            copies: view.copies(),
+            kept: 0,
             asked: view.members.len(),
             heard: 0,
             answered: 0,
@@ -431,7 +440,13 @@
     }
 
     fn has_quorum(&self) -> bool {
-        self.answered >= self.needed
+        self.answered >= self.needed && self.kept >= self.copies
+    }
+
+    /// Counts a member that has done what was asked.
+    fn count(&mut self, member: &Member) {
+        self.answered += usize::from(member.active);
+        self.kept += 1;
     }
 
     /// Whether nothing more is worth waiting for.
@@ -449,11 +464,11 @@
                 load,
             }) => {
                 self.load = self.load.take().or(load);
-                self.answered += usize::from(member.active);
+                self.count(member);
                 attempts.into_iter().for_each(|a| self.merge(a));
                 self.found(member, parent);
             }
-            Some(Reply::Kept) => self.answered += usize::from(member.active),
+            Some(Reply::Kept) => self.count(member),
             Some(Reply::Failed(error)) => {
                 tracing::warn!(event = "replica_failed", replica = member.name, %error);
             }
--- a/crates/gradedyke-turns/src/view.rs
+++ b/crates/gradedyke-turns/src/view.rs
@@ -52,18 +52,33 @@
         self.members.iter().filter(|m| m.active)
     }
 
-    /// How many active members must have a record on disk.
+    /// How many active members must be reached: a majority, and so many that one
+    /// of them has each record that is left after the losses tolerated.
     ///
     /// ```
     /// use gradedyke_turns::view::View;
     ///
-    /// // Nothing counts as kept before it would survive the losses tolerated.
     /// let view = View { tolerate: 1, ..View::default() };
-    /// assert_eq!(view.quorum(), 2);
+    /// assert_eq!(view.quorum(), 1);
+    /// assert_eq!(view.copies(), 2);
     /// ```
     pub fn quorum(&self) -> usize {
-        let majority = self.active().count() / 2 + 1;
-        majority.max(self.tolerate + 1)
+        let active = self.active().count();
+        let majority = active / 2 + 1;
+        majority.max(active.min(self.copies()))
+    }
+
+    /// How many members, active or not, must have a record on disk before it
+    /// counts as kept: one more than the disks that may be lost.
+    pub fn copies(&self) -> usize {
+        self.tolerate + 1
+    }
+
+    /// Whether the members that `up` picks are enough to begin and keep records.
+    pub fn enough(&self, up: impl Fn(&Member) -> bool) -> bool {
+        let active = self.active().filter(|m| up(m)).count();
+        let all = self.members.iter().filter(|m| up(m)).count();
+        active >= self.quorum() && all >= self.copies()
     }
 
     /// Whether the replica on `disk` is one of those that watch the platform's
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -193,6 +193,27 @@
     assert!(matches!(refused, Refusal::NoQuorum { .. }), "{refused:?}");
 }
 
+#[tokio::test]
+async fn one_that_has_everything_and_a_newcomer_keep_what_two_disks_hold() {
+    let mut group = Group::start(2).await;
+    group.keep("a", None).await.unwrap();
+    // The second has lost its disk and is not level again.
+    let node = group.nodes.remove(1);
+    node.stop.cancel();
+    let empty = tempfile::tempdir().unwrap();
+    let mut newcomer = Node::start(empty, "n1", &mut group.tasks).await;
+    newcomer.member.active = false;
+    group.nodes.push(newcomer);
+    group.publish(2);
+    assert!(group.quorum.reachable());
+    group.keep("b", Some("a")).await.unwrap();
+    assert_eq!(group.chain("b").await.unwrap().unwrap(), "a?a!b?b!");
+    // One disk is not enough, whichever it is.
+    group.stop(1);
+    let refused = group.keep("c", Some("b")).await.unwrap_err();
+    assert!(matches!(refused, Refusal::NoQuorum { .. }), "{refused:?}");
+}
+
 #[tokio::test]
 async fn a_turn_is_denied_only_when_all_say_so() {
     let group = Group::start(3).await;
