Hold conversations in memory up to a limit and read the rest from disk

Ruled out: a leak; the peak grows with the turns kept, 3.3 kB each.

The log is read segment by segment at a start, with no list of all records.

Tests: what_was_said_is_held_up_to_a_limit..., records_are_read_back...; with the old index there was no limit to test. Tests of the log's and index's interface follow the new one and check the same.

--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -17,7 +17,8 @@
 //! of a budget can be refused to both.
 //!
 //! - [`record`]: the records; [`message`]: what processes ask of a replica.
-//! - [`log`]: records on a disk; [`index`]: what follows from them.
+//! - [`log`]: records on a disk; [`index`]: what follows from them;
+//!   [`body`]: what was said, as far as it is in memory.
 //! - [`replica`]: the answering side; [`sync`]: replicas bring each other up to
 //!   date.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
@@ -28,6 +29,7 @@
 //!
 //! [`gradedyke_journal`]: https://docs.rs/gradedyke-journal
 
+pub mod body;
 pub mod detour;
 pub mod feed;
 pub mod index;
--- a/crates/gradedyke-turns/src/log.rs
+++ b/crates/gradedyke-turns/src/log.rs
@@ -8,7 +8,7 @@
 //! here: its commits write several pages for each of our small records.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -20,9 +20,21 @@
 /// A segment's number; later ones are greater.
 pub type Segment = u32;
 
-/// Bytes after which a new segment is begun. A tenth of the smallest disk of
-/// today's deployments is 32 MB; a quarter of that lets space come back early.
-const SEGMENT_BYTES: u64 = 8 << 20;
+/// Where a record is on disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its segment.
+    pub segment: Segment,
+    /// Where it begins there, in bytes.
+    pub at: u64,
+    /// Its bytes, with length and checksum.
+    pub bytes: u32,
+}
+
+/// Bytes after which a new segment is begun. A segment is read whole at the
+/// start, so this is also memory that a start takes: a thirtieth of the smallest
+/// instance that has a disk in use (120 MB).
+const SEGMENT_BYTES: u64 = 4 << 20;
 /// Records that may wait for the thread.
 const QUEUE: usize = 4_096;
 /// Bytes of length and checksum in front of a record.
@@ -36,13 +48,16 @@
     /// The folder cannot be used.
     #[error("the data folder {0} cannot be used ({1}); check that it exists and has space")]
     Folder(PathBuf, io::Error),
+    /// A record cannot be read back.
+    #[error("a record cannot be read back ({0}); check the disk, other replicas have it")]
+    Read(io::Error),
     /// A write failed; the process must start again to know what is kept.
     #[error("the disk failed a write; nothing more is kept until the process is restarted")]
     Write,
 }
 
-/// An encoded record, and where to say which segment keeps it.
-type Wait = (Vec<u8>, oneshot::Sender<Option<Segment>>);
+/// An encoded record, and where to say where it is kept.
+type Wait = (Vec<u8>, oneshot::Sender<Option<Place>>);
 
 /// An open log. Clones share it.
 #[derive(Clone)]
@@ -52,14 +67,6 @@
     folder: Arc<Path>,
 }
 
-/// What a log held when it was opened.
-pub struct Opened {
-    /// The log.
-    pub log: Log,
-    /// Its records with their segments, in the order they were written.
-    pub records: Vec<(Record, Segment)>,
-}
-
 fn path(folder: &Path, segment: Segment) -> PathBuf {
     folder.join(format!("turns-{segment:08}.log"))
 }
@@ -87,16 +94,15 @@
     File::open(folder)?.sync_all()
 }
 
-/// The whole records at the start of `bytes`, and how long they are.
-fn parse(bytes: &[u8]) -> (Vec<Record>, usize) {
-    let mut records = Vec::new();
+/// Passes each whole record at the start of `bytes` to `found`, with where it
+/// begins and its length; returns how long they are together.
+fn parse(bytes: &[u8], mut found: impl FnMut(Record, usize, usize)) -> usize {
     let mut at = 0;
-    while let Some(record) = parse_one(&bytes[at..]) {
-        let (record, length) = record;
-        records.push(record);
+    while let Some((record, length)) = parse_one(&bytes[at..]) {
+        found(record, at, length);
         at += length;
     }
-    (records, at)
+    at
 }
 
 fn parse_one(bytes: &[u8]) -> Option<(Record, usize)> {
@@ -124,7 +130,8 @@
 }
 
 impl Log {
-    /// Opens the log in `folder`, which must exist.
+    /// Opens the log in `folder`, which must exist, and passes each record in it to
+    /// `found`, in the order they were written.
     ///
     /// # Errors
     ///
@@ -132,28 +139,15 @@
     ///
     /// ```
     /// let folder = tempfile::tempdir().unwrap();
-    /// let opened = gradedyke_turns::log::Log::open(folder.path()).unwrap();
-    /// assert!(opened.records.is_empty());
+    /// let mut records = 0;
+    /// gradedyke_turns::log::Log::open(folder.path(), |_, _| records += 1).unwrap();
+    /// assert_eq!(records, 0);
     /// ```
-    pub fn open(folder: &Path) -> Result<Opened, Error> {
+    pub fn open(folder: &Path, mut found: impl FnMut(&Record, Place)) -> Result<Self, Error> {
         let wrap = |e| Error::Folder(folder.to_owned(), e);
         let numbers = segments(folder).map_err(wrap)?;
-        let mut records = Vec::new();
         for number in &numbers {
-            let bytes = fs::read(path(folder, *number)).map_err(wrap)?;
-            let (found, whole) = parse(&bytes);
-            if whole < bytes.len() {
-                tracing::warn!(
-                    event = "log_cut",
-                    segment = number,
-                    whole,
-                    bytes = bytes.len()
-                );
-            }
-            if found.is_empty() {
-                fs::remove_file(path(folder, *number)).map_err(wrap)?;
-            }
-            records.extend(found.into_iter().map(|r| (r, *number)));
+            scan(folder, *number, &mut found).map_err(wrap)?;
         }
         // A new segment is begun at each start, so a torn end is never appended
         // to and nothing has to be cut.
@@ -171,12 +165,11 @@
             .name("turn-log".to_owned())
             .spawn(move || writer.run(waiting))
             .map_err(wrap)?;
-        let log = Self {
+        Ok(Self {
             queue,
             active,
             folder: folder.into(),
-        };
-        Ok(Opened { log, records })
+        })
     }
 
     /// The segment that is written now.
@@ -184,21 +177,31 @@
         self.active.load(Ordering::Acquire)
     }
 
-    /// Writes a record and returns its segment once it is synced.
+    /// Writes a record and returns where it is once it is synced.
     ///
     /// # Errors
     ///
     /// [`Error::Write`]; the record may or may not be kept.
-    pub async fn append(&self, record: &Record) -> Result<Segment, Error> {
+    pub async fn append(&self, record: &Record) -> Result<Place, Error> {
         let (done, synced) = oneshot::channel();
         let wait = (encode(record), done);
         self.queue.send(wait).await.map_err(|_| Error::Write)?;
         match synced.await {
-            Ok(Some(segment)) => Ok(segment),
+            Ok(Some(place)) => Ok(place),
             _ => Err(Error::Write),
         }
     }
 
+    /// Reads records back. It waits for the disk.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Read`] when one is not there whole.
+    pub fn read(&self, places: &[Place]) -> Result<Vec<Record>, Error> {
+        let one = |place: &Place| read_one(&self.folder, *place).map_err(Error::Read);
+        places.iter().map(one).collect()
+    }
+
     /// Removes a segment that holds nothing any more. The one that is written
     /// now stays.
     pub fn remove(&self, segment: Segment) -> bool {
@@ -213,6 +216,36 @@
     }
 }
 
+/// Passes the records of a segment to `found`, and removes it if there are none.
+fn scan(folder: &Path, segment: Segment, found: &mut impl FnMut(&Record, Place)) -> io::Result<()> {
+    let bytes = fs::read(path(folder, segment))?;
+    let whole = parse(&bytes, |record, at, length| {
+        let place = Place {
+            segment,
+            at: at as u64,
+            bytes: u32::try_from(length).unwrap_or(u32::MAX),
+        };
+        found(&record, place);
+    });
+    if whole < bytes.len() {
+        let bytes = bytes.len();
+        tracing::warn!(event = "log_cut", segment, whole, bytes);
+    }
+    if whole == 0 {
+        fs::remove_file(path(folder, segment))?;
+    }
+    Ok(())
+}
+
+fn read_one(folder: &Path, place: Place) -> io::Result<Record> {
+    let mut file = File::open(path(folder, place.segment))?;
+    file.seek(SeekFrom::Start(place.at))?;
+    let mut bytes = vec![0; place.bytes as usize];
+    file.read_exact(&mut bytes)?;
+    let record = parse_one(&bytes).map(|(record, _)| record);
+    record.ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
+}
+
 fn create(folder: &Path, segment: Segment) -> io::Result<File> {
     let mut options = OpenOptions::new();
     let file = options
@@ -239,14 +272,18 @@
                 batch.push(next);
             }
             let written = self.write(&batch);
-            let segment = written.is_ok().then(|| self.active.load(Ordering::Acquire));
             if let Err(error) = &written {
                 tracing::error!(event = "log_write_failed", %error,
                     remedy = "check the disk and restart the process");
             }
-            for (_, done) in batch {
+            let mut at = *written.as_ref().unwrap_or(&0);
+            let segment = self.active.load(Ordering::Acquire);
+            for (record, done) in batch {
+                let bytes = u32::try_from(record.len()).unwrap_or(u32::MAX);
+                let place = Place { segment, at, bytes };
+                at += u64::from(bytes);
                 // Whoever stopped waiting learns of the record another way.
-                let _: Result<(), _> = done.send(segment);
+                let _: Result<(), _> = done.send(written.is_ok().then_some(place));
             }
             if written.is_err() {
                 return;
@@ -254,7 +291,8 @@
         }
     }
 
-    fn write(&mut self, batch: &[Wait]) -> io::Result<()> {
+    /// Writes and syncs records; returns where the first begins.
+    fn write(&mut self, batch: &[Wait]) -> io::Result<u64> {
         if self.bytes > SEGMENT_BYTES {
             self.rotate()?;
         }
@@ -265,8 +303,9 @@
         }
         self.file.write_all(&joined)?;
         self.file.sync_data()?;
+        let at = self.bytes;
         self.bytes += bytes as u64;
-        Ok(())
+        Ok(at)
     }
 
     fn rotate(&mut self) -> io::Result<()> {
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -11,12 +11,13 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::index::{Index, Position};
+use crate::body::Body;
+use crate::index::{self, Answer, Chain, Index, Part, Position};
 use crate::load::{Board, Busy, Report};
-use crate::log::{self, Log};
+use crate::log::{self, Log, Place};
 use crate::message::{self, Begin, Found, Keys, Reply, Request};
 use crate::mirror::{Mirror, News};
-use crate::record::{Id, Record};
+use crate::record::{Id, Key, Record};
 use crate::view::{Disk, View};
 
 /// Keys in one page.
@@ -72,6 +73,17 @@
     Ok(disk)
 }
 
+/// What a turn's record says; nothing for records of other kinds.
+fn body(record: Record) -> Option<Body> {
+    match record {
+        Record::Turn(turn) => Some(Body {
+            input: turn.input,
+            output: turn.output,
+        }),
+        Record::Reserved(_) | Record::Settled(_) => None,
+    }
+}
+
 impl Replica {
     /// Opens the replica in `folder`, made if it is not there.
     ///
@@ -84,23 +96,26 @@
         stop: CancellationToken,
     ) -> Result<Arc<Self>, log::Error> {
         let disk = identity(folder)?;
-        let opened = Log::open(folder)?;
-        let mut index = Index::default();
+        let mut index = Index::new(index::BODIES);
         let now = Instant::now();
-        for (record, segment) in &opened.records {
-            index.apply(record, *segment, now);
-        }
+        let mut records = 0;
+        let log = Log::open(folder, |record, place| {
+            index.apply(record, place.segment, now);
+            index.place(&record.key(), place);
+            records += 1;
+        })?;
         let (turns, programs) = index.sizes();
         tracing::info!(
             event = "records_read",
-            records = opened.records.len(),
+            records,
             turns,
-            programs
+            programs,
+            body_bytes = index.body_bytes()
         );
         Ok(Arc::new(Self {
             disk,
             boot: rand::random(),
-            log: opened.log,
+            log,
             arrived: watch::Sender::new(index.end()),
             index: Mutex::new(index),
             view: watch::Sender::new(View::default()),
@@ -163,11 +178,11 @@
         };
         // A record that was here already may not be synced yet, so it is
         // written once more.
-        let segment = self.log.append(record).await.inspect_err(|error| {
+        let place = self.log.append(record).await.inspect_err(|error| {
             tracing::error!(event = "replica_stops", %error);
             self.stop.cancel();
         })?;
-        self.index().place(&key, segment);
+        self.index().place(&key, place);
         self.arrived.send_replace(end);
         Ok(())
     }
@@ -189,7 +204,10 @@
             }
             attempts = self.index().attempts(&program);
         }
-        let parent = begin.parent.map(|id| self.find(&id, begin.nearest));
+        let parent = match &begin.parent {
+            Some(id) => Some(self.find(id, begin.nearest).await),
+            None => None,
+        };
         let load = self.load(begin.load, begin.nearest);
         Reply::Began {
             attempts,
@@ -211,15 +229,68 @@
         asked.then(|| board.others(entry, now))
     }
 
-    fn find(&self, id: &Id, whole: bool) -> Found {
-        let index = self.index();
-        if !index.has_chain(id) {
+    async fn find(&self, id: &Id, whole: bool) -> Found {
+        if !self.index().has_chain(id) {
             return Found::Missing;
         }
-        match index.chain(id) {
-            Some(chain) if whole => Found::Whole(chain),
-            _ => Found::Here,
+        if !whole {
+            return Found::Here;
         }
+        let chain = self.chain(id).await;
+        chain.map_or(Found::Here, Found::Whole)
+    }
+
+    /// The conversation up to and with a turn, if all of it is here.
+    async fn chain(&self, id: &Id) -> Option<Chain> {
+        let conversation = self.index().conversation(id)?;
+        let stored = conversation.stored();
+        if stored.is_empty() {
+            return conversation.chain(&[]);
+        }
+        let records = self.read(stored).await?;
+        let bodies: Vec<Body> = records.into_iter().filter_map(body).collect();
+        let chain = conversation.chain(&bodies);
+        let parts = conversation.parts.iter();
+        let read = parts.filter(|(_, part)| matches!(part, Part::Stored(_)));
+        let mut index = self.index();
+        for ((request, _), body) in read.zip(bodies) {
+            index.restore(request, body);
+        }
+        chain
+    }
+
+    /// Reads records from the disk, without holding others up meanwhile.
+    async fn read(&self, places: Vec<Place>) -> Option<Vec<Record>> {
+        let log = self.log.clone();
+        let read = tokio::task::spawn_blocking(move || log.read(&places)).await;
+        match read {
+            Ok(Ok(records)) => Some(records),
+            Ok(Err(error)) => {
+                tracing::warn!(event = "record_not_read", %error);
+                None
+            }
+            // The process is stopping.
+            Err(_) => None,
+        }
+    }
+
+    /// The records of keys, as far as they are here.
+    async fn records(&self, keys: &[Key]) -> Option<Vec<Record>> {
+        let mut records = Vec::new();
+        let mut stored = Vec::new();
+        {
+            let mut index = self.index();
+            for answer in keys.iter().filter_map(|k| index.record(k)) {
+                match answer {
+                    Answer::Held(record) => records.push(record),
+                    Answer::Stored(place) => stored.push(place),
+                }
+            }
+        }
+        if !stored.is_empty() {
+            records.extend(self.read(stored).await?);
+        }
+        Some(records)
     }
 
     async fn keep_under(&self, view: u64, record: &Record) -> Reply {
@@ -271,6 +342,8 @@
             let (turns, programs) = self.index().sizes();
             metrics::gauge!("gradedyke_turns_kept").set(turns as f64);
             metrics::gauge!("gradedyke_programs_kept").set(programs as f64);
+            let bytes = self.index().body_bytes();
+            metrics::gauge!("gradedyke_turn_bytes_in_memory").set(bytes as f64);
         }
     }
 
@@ -280,12 +353,14 @@
             Request::Via { .. } => Reply::Failed("a keeper passes nothing on".to_owned()),
             Request::Begin(begin) => self.begin(begin).await,
             Request::Keep { view, record } => self.keep_under(view, &record).await,
-            Request::Chain(id) => Reply::Chain(self.index().chain(&id)),
+            Request::Chain(id) => Reply::Chain(self.chain(&id).await),
             Request::Keys { disk, boot, from } => self.keys(disk, boot, from).await,
-            Request::Records(keys) => {
-                let index = self.index();
-                Reply::Records(keys.iter().filter_map(|k| index.record(k)).collect())
-            }
+            Request::Records(keys) => match self.records(&keys).await {
+                Some(records) => Reply::Records(records),
+                None => {
+                    Reply::Failed("the disk does not give records back; see its log".to_owned())
+                }
+            },
         }
     }
 }
--- a/crates/gradedyke-turns/tests/index.rs
+++ b/crates/gradedyke-turns/tests/index.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use gradedyke_turns::index::Index;
+use gradedyke_turns::body::Body;
+use gradedyke_turns::index::{Answer, BODIES, Chain, Index};
+use gradedyke_turns::log::Place;
 use gradedyke_turns::record::{Id, Key, Kind, Record, Reserved, Settled, Turn};
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -57,6 +59,19 @@
     ]
 }
 
+/// A conversation that is in memory.
+fn chain(index: &mut Index, request: &str) -> Option<Chain> {
+    index.conversation(&id(request))?.chain(&[])
+}
+
+fn place(segment: u32, at: u64) -> Place {
+    Place {
+        segment,
+        at,
+        bytes: 10,
+    }
+}
+
 fn used(index: &Index) -> Vec<(String, u32, bool)> {
     let attempts = index.attempts(&id("p")).into_iter();
     let mut used: Vec<_> = attempts
@@ -72,7 +87,7 @@
         order in Just(records()).prop_shuffle(),
         again in proptest::sample::subsequence(records(), 0..=7),
     ) {
-        let mut index = Index::default();
+        let mut index = Index::new(BODIES);
         let now = Instant::now();
         for record in order.iter().chain(&again) {
             index.apply(record, 1, now);
@@ -85,7 +100,7 @@
             ("e".to_owned(), 1, true),
         ];
         prop_assert_eq!(used(&index), expected);
-        let chain = index.chain(&id("e")).unwrap();
+        let chain = chain(&mut index, "e").unwrap();
         prop_assert_eq!(&chain.body[..], b"in-a;out-a\nin-d;out-d\nin-e;out-e\n");
         prop_assert_eq!(chain.server, id("server-of-e"));
         prop_assert_eq!(index.end(), 7);
@@ -94,18 +109,18 @@
 
 #[test]
 fn a_conversation_with_a_missing_turn_is_not_told() {
-    let mut index = Index::default();
+    let mut index = Index::new(BODIES);
     let now = Instant::now();
     index.apply(&turn("a", None, 1), 1, now);
     index.apply(&turn("c", Some("b"), 1), 1, now);
     assert!(index.has_chain(&id("a")));
     assert!(!index.has_chain(&id("c")));
-    assert!(index.chain(&id("c")).is_none());
+    assert!(chain(&mut index, "c").is_none());
 }
 
 #[test]
 fn a_turn_lives_as_long_as_those_that_continue_it() {
-    let mut index = Index::default();
+    let mut index = Index::new(BODIES);
     let start = Instant::now();
     index.apply(&turn("a", None, 1), 1, start);
     index.apply(&turn("x", None, 1), 1, start);
@@ -124,21 +139,21 @@
 
 #[test]
 fn a_segment_holds_what_was_placed_in_it() {
-    let mut index = Index::default();
+    let mut index = Index::new(BODIES);
     let start = Instant::now();
     index.apply(&turn("a", None, 1), 1, start);
     let key = Key {
         kind: Kind::Turn,
         request: id("a"),
     };
-    index.place(&key, 2);
+    index.place(&key, place(2, 0));
     // Segment 1 holds nothing any more, segment 2 does.
     assert_eq!(index.expire(start), [1]);
 }
 
 #[test]
 fn followers_are_told_each_arrival_once() {
-    let mut index = Index::default();
+    let mut index = Index::new(BODIES);
     let now = Instant::now();
     for record in records() {
         index.apply(&record, 1, now);
@@ -149,6 +164,45 @@
     let (none, same) = index.arrived(end, 100);
     assert_eq!((none.len(), same), (0, end));
     for key in first.iter().chain(&rest) {
-        assert_eq!(index.record(key).unwrap().key(), *key);
+        let Some(Answer::Held(record)) = index.record(key) else {
+            panic!("{key:?} is not held");
+        };
+        assert_eq!(record.key(), *key);
     }
 }
+
+#[test]
+fn what_was_said_is_held_up_to_a_limit_and_the_oldest_goes_first() {
+    // Three turns of 11 bytes and a limit that two keep.
+    let mut index = Index::new(30);
+    let now = Instant::now();
+    let key = |request: &str| turn(request, None, 1).key();
+    index.apply(&turn("a", None, 1), 1, now);
+    index.place(&key("a"), place(1, 100));
+    index.apply(&turn("b", Some("a"), 1), 1, now);
+    index.apply(&turn("c", Some("b"), 1), 1, now);
+    // Nothing goes that is not on disk yet, so the oldest that is goes.
+    index.place(&key("c"), place(1, 300));
+    assert_eq!(index.body_bytes(), 22);
+    let conversation = index.conversation(&id("c")).unwrap();
+    assert_eq!(conversation.stored(), [place(1, 100)]);
+    assert!(conversation.chain(&[]).is_none());
+    assert_eq!(index.record(&key("a")), Some(Answer::Stored(place(1, 100))));
+    // Read again, it is held again, and the other one that is on disk goes.
+    let body = Body {
+        input: "in-a;".into(),
+        output: "out-a\n".into(),
+    };
+    index.restore(&id("a"), body.clone());
+    let conversation = index.conversation(&id("c")).unwrap();
+    assert_eq!(conversation.stored(), [place(1, 300)]);
+    let last = Body {
+        input: "in-c;".into(),
+        output: "out-c\n".into(),
+    };
+    let chain = conversation.chain(&[last]).unwrap();
+    assert_eq!(&chain.body[..], b"in-a;out-a\nin-b;out-b\nin-c;out-c\n");
+    // What has expired is held no longer.
+    index.expire(now + Duration::from_millis(2 * u64::from(KEEP_MS)));
+    assert_eq!(index.body_bytes(), 0);
+}
--- a/crates/gradedyke-turns/tests/log.rs
+++ b/crates/gradedyke-turns/tests/log.rs
@@ -3,7 +3,7 @@
 use std::fs::{self, OpenOptions};
 use std::path::Path;
 
-use gradedyke_turns::log::Log;
+use gradedyke_turns::log::{Log, Place};
 use gradedyke_turns::record::{Id, Record, Reserved, Turn};
 
 fn id(text: &str) -> Id {
@@ -32,12 +32,15 @@
     })
 }
 
+fn open(folder: &Path) -> Log {
+    Log::open(folder, |_, _| {}).unwrap()
+}
+
 fn names(folder: &Path) -> Vec<String> {
-    let records = Log::open(folder).unwrap().records;
-    records
-        .iter()
-        .map(|(r, _)| r.key().request.to_string())
-        .collect()
+    let mut names = Vec::new();
+    let found = |record: &Record, _| names.push(record.key().request.to_string());
+    Log::open(folder, found).unwrap();
+    names
 }
 
 /// The file with the most bytes.
@@ -52,7 +55,7 @@
 async fn what_was_appended_is_there_after_a_restart() {
     let folder = tempfile::tempdir().unwrap();
     for round in 0..3 {
-        let log = Log::open(folder.path()).unwrap().log;
+        let log = open(folder.path());
         log.append(&reserved(&format!("r{round}"))).await.unwrap();
         log.append(&turn(&format!("t{round}"), 100)).await.unwrap();
     }
@@ -72,7 +75,7 @@
     ];
     for end in torn {
         let folder = tempfile::tempdir().unwrap();
-        let log = Log::open(folder.path()).unwrap().log;
+        let log = open(folder.path());
         log.append(&reserved("a")).await.unwrap();
         log.append(&turn("b", 10)).await.unwrap();
         drop(log);
@@ -81,7 +84,7 @@
         fs::write(fullest(folder.path()), bytes).unwrap();
         assert_eq!(names(folder.path()), ["a", "b"], "{end:?}");
         // What is appended after the torn end is found as well.
-        let log = Log::open(folder.path()).unwrap().log;
+        let log = open(folder.path());
         log.append(&reserved("c")).await.unwrap();
         drop(log);
         assert_eq!(names(folder.path()), ["a", "b", "c"], "{end:?}");
@@ -91,7 +94,7 @@
 #[tokio::test]
 async fn a_changed_byte_is_never_taken_for_a_record() {
     let folder = tempfile::tempdir().unwrap();
-    let log = Log::open(folder.path()).unwrap().log;
+    let log = open(folder.path());
     log.append(&turn("a", 50)).await.unwrap();
     drop(log);
     let file = fullest(folder.path());
@@ -108,10 +111,10 @@
 #[tokio::test]
 async fn only_segments_that_are_no_longer_written_are_removed() {
     let folder = tempfile::tempdir().unwrap();
-    let log = Log::open(folder.path()).unwrap().log;
-    let first = log.append(&turn("a", 9 << 20)).await.unwrap();
+    let log = open(folder.path());
+    let first = log.append(&turn("a", 9 << 20)).await.unwrap().segment;
     assert!(!log.remove(first));
-    let second = log.append(&turn("b", 10)).await.unwrap();
+    let second = log.append(&turn("b", 10)).await.unwrap().segment;
     assert!(second > first);
     assert!(log.remove(first));
     drop(log);
@@ -127,6 +130,38 @@
         .append(true)
         .open(&file)
         .unwrap();
-    let error = Log::open(&file).err().unwrap().to_string();
+    let error = Log::open(&file, |_, _| {}).err().unwrap().to_string();
     assert!(error.contains("check that it exists"), "{error}");
 }
+
+#[tokio::test]
+async fn records_are_read_back_from_where_they_were_put() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut places = Vec::new();
+    for round in 0..2 {
+        let log = open(folder.path());
+        let names = ["a", "b", "c"].map(|n| format!("{n}{round}"));
+        let records = names.each_ref().map(|n| turn(n, 100));
+        let appended = records.each_ref().map(|r| log.append(r));
+        for (place, record) in futures_util::future::join_all(appended)
+            .await
+            .into_iter()
+            .zip(&records)
+        {
+            let place = place.unwrap();
+            assert_eq!(log.read(&[place]).unwrap(), [record.clone()]);
+            places.push(place);
+        }
+    }
+    // They stand in the same places after a restart.
+    let mut found = Vec::new();
+    let log = Log::open(folder.path(), |_, place| found.push(place)).unwrap();
+    assert_eq!(found, places);
+    let last = places[5];
+    let beyond = Place {
+        at: last.at + 1,
+        ..last
+    };
+    let error = log.read(&[beyond]).unwrap_err().to_string();
+    assert!(error.contains("check the disk"), "{error}");
+}
