Requests that wait for the first configuration wait for its servers too

Change: one method brings configuration and servers in line with the mirror, and the waiting use it.

Test: what_waits_for_the_first_configuration_waits_for_the_servers_too; the old code has no server then.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -11,8 +11,8 @@
 pub mod refusal;
 pub mod turn;
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -55,6 +55,8 @@
     pub drain: CancellationToken,
     /// The revision of the configuration that was read last.
     pub configured: AtomicU64,
+    /// Up to where the fleet has taken the mirror in.
+    pub applied: Mutex<u64>,
     /// Requests in progress.
     pub active: AtomicUsize,
 }
@@ -75,8 +77,19 @@
         started && !self.drain.is_cancelled() && self.quorum.reachable()
     }
 
+    /// Brings configuration and fleet in line with the mirror.
+    pub fn refresh(&self) {
+        self.configure();
+        let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
+        let (items, next) = self.mirror.since(*applied);
+        for (item, learned) in items {
+            self.fleet.apply(&item, learned, &*self.dialect);
+        }
+        *applied = next;
+    }
+
     /// Puts the configuration of the mirror in force, if it is a later one.
-    pub fn configure(&self) {
+    fn configure(&self) {
         let Some((value, revision)) = self.mirror.get(self.dialect.config_key()) else {
             return;
         };
@@ -130,22 +143,22 @@
     }
 
     /// The configuration in force. A process that has just started waits a
-    /// moment for its first one: it comes within that time as a rule, and the
-    /// caller would only ask again.
-    async fn started(&self, now: Instant) -> Option<Arc<Config>> {
+    /// moment for its first one, and for the servers that come with it: they are
+    /// there within that time as a rule, and the caller would only ask again.
+    pub async fn started(&self, now: Instant) -> Option<Arc<Config>> {
         let mut changed = self.mirror.watch();
         let end = now + START;
         loop {
             let config = self.config.load_full();
-            if config.is_some() {
+            if config.is_some() && self.fleet.known() {
+                return config;
+            }
+            let news = tokio::time::timeout_at(end, changed.changed()).await;
+            if !matches!(news, Ok(Ok(()))) {
                 return config;
             }
-            tokio::time::timeout_at(end, changed.changed())
-                .await
-                .ok()?
-                .ok()?;
-            // The task that puts it in force has seen the same change.
-            self.configure();
+            // The task that does this on each change may not have run yet.
+            self.refresh();
         }
     }
 
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -192,6 +192,11 @@
         servers.servers.values().filter(listed).count()
     }
 
+    /// Whether the directory has told of any server yet.
+    pub fn known(&self) -> bool {
+        !self.lock().servers.is_empty()
+    }
+
     /// Takes in an item of the directory that changed, which was learned then.
     pub fn apply(&self, item: &Item, learned: Instant, dialect: &dyn Dialect) {
         let name = item.key.strip_prefix(dialect.server_prefix());
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -1,8 +1,8 @@
 //! A process from its start to its stop.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -188,6 +188,7 @@
             quorum: quorum.clone(),
             drain: CancellationToken::new(),
             configured: AtomicU64::new(0),
+            applied: Mutex::new(0),
             active: AtomicUsize::new(0),
         });
         let stop = CancellationToken::new();
@@ -361,17 +362,9 @@
 /// Brings configuration and fleet in line with the mirror.
 async fn refresh(entry: Arc<Entry>, stop: CancellationToken) {
     let mut changed = entry.mirror.watch();
-    let mut position = 0;
     loop {
         tokio::select! {
-            _ = changed.changed() => {
-                entry.configure();
-                let (items, next) = entry.mirror.since(position);
-                for (item, learned) in items {
-                    entry.fleet.apply(&item, learned, &*entry.dialect);
-                }
-                position = next;
-            }
+            _ = changed.changed() => entry.refresh(),
             () = tokio::time::sleep(LOOK) => entry.quorum.mend(),
             () = stop.cancelled() => return,
         }
