Placement weighs the share of requests that fail at a server

Where servers answer 500, turn requests away, hang or lose one answer in thirty, and are well otherwise, programs went on to lose calls there: a server's own 500 counted as a success, and a request turned away as nothing.

Change: health.rs counts requests and failures of the last 3 to 6 s at all entries; the cost of a server is the share that fails times what a failure costs. Only servers that cannot be reached, or just lost a request, rest. A plain service that takes 1.5 times the objective counts as a failure at once.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -20,12 +20,18 @@
 use crate::config::Kind;
 use crate::dialect::{Answer, Outbound};
 use crate::fleet::{Choice, Key, Question};
+use crate::health::Fault;
 use crate::link::{self, Link};
 
 /// Least time left with which a request is sent: below it a server could not
 /// even take it in.
 const LEAST: Duration = Duration::from_millis(5);
 
+/// How many times its objective a request waits for the head of an answer before
+/// the server is taken for a slow one. Objectives in use are 4 to 5 times the
+/// usual time of a request.
+const LATE: f64 = 1.5;
+
 /// The head of an answer that belongs to the request.
 pub struct Answered {
     /// The server.
@@ -133,28 +139,51 @@
     *request.headers_mut() = entry.dialect.outbound(&call.headers, &outbound);
     let repeatable = call.route.kind == Kind::Idempotent;
     let sending = choice.pool.send(request, repeatable, now);
-    let sent = tokio::time::timeout_at(call.until, sending).await;
+    let sent = watched(entry, call, &choice, sending).await;
     let (response, link) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(error)) => return failed(entry, call, &choice, &error),
         Err(_) => {
-            entry.fleet.failed(choice.key, "no answer", Instant::now());
+            entry
+                .fleet
+                .failed(choice.key, Fault::Silent, Instant::now());
             return Outcome::TimedOut;
         }
     };
     judge(entry, call, choice, link, response, now)
 }
 
+/// Waits for the head of an answer until the call's time is over. When a plain
+/// service takes far longer than usual, it is taken for one that may not answer at
+/// all, long before that shows. An engine that is slow reads prompts, and moving
+/// programs away from it would only make others read them too.
+async fn watched<T>(
+    entry: &Entry,
+    call: &Call,
+    choice: &Choice,
+    sending: impl Future<Output = T>,
+) -> Result<T, tokio::time::error::Elapsed> {
+    tokio::pin!(sending);
+    let late = Instant::now() + call.route.objective.mul_f64(LATE);
+    if call.engine().is_none() && late < call.until {
+        if let Ok(sent) = tokio::time::timeout_at(late, &mut sending).await {
+            return Ok(sent);
+        }
+        entry.fleet.failed(choice.key, Fault::Slow, Instant::now());
+    }
+    tokio::time::timeout_at(call.until, sending).await
+}
+
 fn failed(entry: &Entry, call: &Call, choice: &Choice, error: &link::Error) -> Outcome {
     let now = Instant::now();
     tracing::info!(event = "attempt_failed", request = %call.id, server = %choice.id, %error);
     match error {
         link::Error::NotSent(..) => {
-            entry.fleet.failed(choice.key, "unreachable", now);
+            entry.fleet.failed(choice.key, Fault::Unreachable, now);
             Outcome::NotRun(Unrun::Unreachable)
         }
         link::Error::Broken(..) => {
-            entry.fleet.failed(choice.key, "broke off", now);
+            entry.fleet.failed(choice.key, Fault::Lost, now);
             Outcome::Unknown
         }
     }
@@ -180,10 +209,16 @@
         return Outcome::Unknown;
     }
     if answer.not_run {
+        entry.fleet.failed(choice.key, Fault::Shed, Instant::now());
         choice.pool.rest(link, answer.idle, Instant::now());
         return Outcome::NotRun(Unrun::Refused);
     }
-    entry.fleet.answered(choice.key, sent.elapsed());
+    let now = Instant::now();
+    if response.status().is_server_error() {
+        entry.fleet.failed(choice.key, Fault::Failed, now);
+    } else {
+        entry.fleet.answered(choice.key, now - sent, now);
+    }
     Outcome::Answered(Box::new(Answered {
         choice,
         link,
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -16,6 +16,7 @@
 use super::refusal::Refusal;
 use crate::config::Kind;
 use crate::fleet::Question;
+use crate::health::Fault;
 
 /// Largest answer that is read, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
@@ -77,9 +78,7 @@
         Ok(Err(error)) => {
             tracing::info!(event = "answer_broke_off", request = %call.id,
                 server = %choice.id, %error);
-            entry
-                .fleet
-                .failed(choice.key, "answer broke off", Instant::now());
+            entry.fleet.failed(choice.key, Fault::Lost, Instant::now());
             return None;
         }
         Err(_) => return None,
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -25,6 +25,7 @@
 use super::refusal::Refusal;
 use crate::event::Splitter;
 use crate::fleet::{Choice, Question};
+use crate::health::Fault;
 use crate::link::Link;
 
 /// Events that may wait for a caller that reads slowly.
@@ -258,10 +259,7 @@
                 }
                 return;
             }
-            End::Broken(_) => self
-                .entry
-                .fleet
-                .failed(self.choice.key, "stream broke off", now),
+            End::Broken(_) => self.entry.fleet.failed(self.choice.key, Fault::Lost, now),
             End::CallerLeft | End::TimedOut | End::NotKept => {}
         }
         self.ledger.settle(&self.entry, self.tokens);
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
+use crate::health::{Counts, Fault, Health, Told};
 use crate::link::Pool;
 use crate::placement::{Candidate, Policy};
 
@@ -25,18 +26,9 @@
     pub struct Key;
 }
 
-/// How long a server that failed gets no work while others do, the first time.
-const REST_FIRST: Duration = Duration::from_millis(500);
-/// The longest such rest.
-const REST_LAST: Duration = Duration::from_secs(4);
-/// How many times as long as it rests a server is not trusted with requests that
-/// must not run twice; those that may be repeated try it out meanwhile.
-const SUSPECT: u32 = 4;
-/// How long a failure is told to other entries.
-const LATELY: Duration = Duration::from_millis(2_000);
-/// Other entries where a request failed lately from which on a server gets none
-/// that may be repeated either: more than one, because single answers get lost.
-const AGREED: u32 = 3;
+/// Other entries that could not reach a server lately from which on it gets
+/// nothing while others do: more than one, because a single one may be cut off.
+const AGREED: u32 = 2;
 /// Time after the directory's return in which living servers write their items
 /// again: twice their heartbeat, and the way.
 const RETURN: Duration = Duration::from_millis(2_500);
@@ -86,12 +78,7 @@
     tokens: u64,
     /// What other entries have in progress there, as last told.
     others: Busy,
-    failures: u32,
-    rests_until: Option<Instant>,
-    /// Until then it is not trusted with what must not run twice.
-    suspect_until: Option<Instant>,
-    /// When a request last failed by its fault.
-    failed: Option<Instant>,
+    health: Health,
     cold_until: Instant,
     /// Average time to the head of an answer, in milliseconds.
     time_ms: Option<f64>,
@@ -258,14 +245,18 @@
     /// What this entry has in progress, and where requests failed lately.
     pub fn report(&self, now: Instant) -> Report {
         let servers = self.lock();
-        let told = |k: &&Known| k.in_flight > 0 || k.failed_lately(now);
-        let busy = servers.servers.values().filter(told);
-        let busy = busy.map(|known| Busy {
-            server: load::server(&known.server.id),
-            requests: known.in_flight,
-            tokens: known.tokens,
-            failures: u32::from(known.failed_lately(now)),
+        let busy = servers.servers.values().map(|known| {
+            let told = known.health.told(now);
+            Busy {
+                server: load::server(&known.server.id),
+                requests: known.in_flight,
+                tokens: known.tokens,
+                failures: told.counts.failures,
+                ended: told.counts.requests,
+                unreached: told.unreached,
+            }
         });
+        let busy = busy.filter(|b| b.requests + b.failures + b.unreached > 0);
         Report {
             entry: self.boot,
             address: self.own,
@@ -308,38 +299,35 @@
             warm: known.pool.warm(question.repeatable, question.now),
             cold: known.cold_until > question.now,
             slowness,
+            repeatable: question.repeatable,
+            risk: known.risk(question.now),
             draw: draw(question.request, &known.server.id),
         }
     }
 
     /// Takes in that a server answered, `time` after the request was sent.
-    pub fn answered(&self, key: Key, time: Duration) {
+    pub fn answered(&self, key: Key, time: Duration, now: Instant) {
         if let Some(known) = self.lock().servers.get_mut(key) {
-            known.failures = 0;
-            known.rests_until = None;
-            known.suspect_until = None;
+            known.health.answered(now);
             let ms = time.as_secs_f64() * 1e3;
             let before = known.time_ms.unwrap_or(ms);
             known.time_ms = Some(before + (ms - before) * NEWEST);
         }
     }
 
-    /// Takes in that a server failed: it gets no work for a while, longer each
-    /// time.
-    pub fn failed(&self, key: Key, why: &str, now: Instant) {
+    /// Takes in that a request failed by a server's fault.
+    pub fn failed(&self, key: Key, fault: Fault, now: Instant) {
         let mut servers = self.lock();
         let Some(known) = servers.servers.get_mut(key) else {
             return;
         };
-        let rest = REST_FIRST * 2_u32.saturating_pow(known.failures.min(10));
-        let rest = rest.min(REST_LAST);
-        known.failures += 1;
-        known.rests_until = Some(now + rest);
-        known.suspect_until = Some(now + rest * SUSPECT);
-        known.failed = Some(now);
-        known.pool.clear();
-        tracing::info!(event = "server_rests", server = %known.server.id, why,
-            failures = known.failures, rest_ms = rest.as_millis());
+        let rest = known.health.fault(fault, now);
+        if rest.is_some() {
+            known.pool.clear();
+        }
+        tracing::info!(event = "server_failed", server = %known.server.id,
+            fault = fault.name(), rest_ms = rest.map(|r| r.as_millis()),
+            risk = known.risk(now));
     }
 
     /// Takes in that another server has its address: it has gone.
@@ -376,17 +364,24 @@
         self.seen.insert(object.clone(), now);
     }
 
-    fn failed_lately(&self, now: Instant) -> bool {
-        self.failed.is_some_and(|at| now - at < LATELY)
+    /// What other entries told of its failures.
+    fn told(&self) -> Told {
+        Told {
+            counts: Counts {
+                failures: self.others.failures,
+                requests: self.others.ended,
+            },
+            unreached: self.others.unreached,
+        }
     }
 
-    /// Whether others should run the request, as long as there are any.
-    fn doubtful(&self, question: &Question<'_>) -> bool {
-        let over = |until: Option<Instant>| until.is_none_or(|until| until <= question.now);
-        if question.repeatable {
-            return !over(self.rests_until) || self.others.failures >= AGREED;
-        }
-        !over(self.rests_until) || !over(self.suspect_until) || self.others.failures > 0
+    fn risk(&self, now: Instant) -> f64 {
+        self.health.risk(self.told(), now)
+    }
+
+    /// Whether others should run requests, as long as there are any.
+    fn resting(&self, now: Instant) -> bool {
+        self.health.resting(now) || self.others.unreached >= AGREED
     }
 }
 
@@ -420,10 +415,7 @@
             in_flight: 0,
             tokens: 0,
             others: Busy::default(),
-            failures: 0,
-            rests_until: None,
-            suspect_until: None,
-            failed: None,
+            health: Health::default(),
             cold_until: learned + server.cold,
             time_ms: None,
             seen: HashMap::new(),
@@ -466,7 +458,7 @@
         let rank = |key: &Key| {
             let known = &self.servers[*key];
             let vanished = known.state != State::Listed;
-            (vanished, known.doubtful(question))
+            (vanished, known.resting(question.now))
         };
         let open = |key: &&Key| {
             let known = &self.servers[**key];
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -13,7 +13,8 @@
 //! - [`dialect`]: the border towards the outside, in this project's types.
 //! - [`config`]: routes and services as the operator sets them.
 //! - [`settings`]: settings of one process.
-//! - [`fleet`]: the backend servers; [`placement`]: which of them runs a request.
+//! - [`fleet`]: the backend servers; [`health`]: what is learned of one of them;
+//!   [`placement`]: which of them runs a request.
 //! - [`link`]: connections to backend servers.
 //! - [`event`]: events within a stream.
 //! - [`entry`]: requests from their head to their last byte.
@@ -24,6 +25,7 @@
 pub mod entry;
 pub mod event;
 pub mod fleet;
+pub mod health;
 pub mod link;
 pub mod meter;
 pub mod placement;
--- a/crates/gradedyke-gateway/src/placement.rs
+++ b/crates/gradedyke-gateway/src/placement.rs
@@ -32,6 +32,10 @@
     pub cold: bool,
     /// How long its answers take, relative to those of its service as a whole.
     pub slowness: f64,
+    /// Whether the request may be repeated.
+    pub repeatable: bool,
+    /// Share of requests that are expected to fail there, 0 to 1.
+    pub risk: f64,
     /// A number that follows from the request's name and the server's.
     pub draw: u64,
 }
@@ -102,7 +106,27 @@
 /// Usual time of a request at a server, which its slowness multiplies.
 const USUAL_MS: f64 = 100.0;
 
+/// What it costs that a request which must not run twice is lost at a plain
+/// service, in milliseconds: its program, the shortest of which take 2 s.
+const LOST_ONCE_MS: f64 = 5_000.0;
+/// What it costs that a turn is lost: its caller sends it again after 0.1 to 0.4 s
+/// and has waited in vain, and a third loss ends its program. At an engine that
+/// loses one turn in twenty it stays below the reading of a prompt (100 ms).
+const LOST_TURN_MS: f64 = 1_500.0;
+/// What it costs that a request is lost that can be sent to another server.
+const LOST_MS: f64 = 200.0;
+
 impl Cost {
+    /// What is expected to be lost by failures.
+    fn loss(candidate: &Candidate) -> f64 {
+        let loss = match (candidate.engine, candidate.repeatable) {
+            (true, _) => LOST_TURN_MS,
+            (false, false) => LOST_ONCE_MS,
+            (false, true) => LOST_MS,
+        };
+        candidate.risk * loss
+    }
+
     fn of(candidate: &Candidate) -> f64 {
         let taken = f64::from(candidate.in_flight);
         let slots = f64::from(candidate.slots.max(1));
@@ -121,7 +145,8 @@
         let warm = if candidate.warm { WARM_MS } else { 0.0 };
         let slow = (candidate.slowness - 1.0).max(0.0) * USUAL_MS;
         let read = candidate.unread_tokens as f64 / READ_PER_MS;
-        read + full + waiting + taken * beside + far + cold + slow - familiar - warm
+        let loss = Self::loss(candidate);
+        loss + read + full + waiting + taken * beside + far + cold + slow - familiar - warm
     }
 }
 
--- a/crates/gradedyke-turns/src/body.rs
+++ b/crates/gradedyke-turns/src/body.rs
@@ -82,9 +82,9 @@
     }
 
     /// Takes a body in that was read from disk because it is in use.
-    pub fn restore(&mut self, id: Id, body: Body) {
+    pub fn restore(&mut self, id: &Id, body: Body) {
         self.put(id.clone(), body);
-        if let Some(slot) = self.slots.get_mut(&id) {
+        if let Some(slot) = self.slots.get_mut(id) {
             slot.read = true;
         }
     }
--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -253,7 +253,7 @@
     /// Brings a turn's body, as it was read from disk, back into memory.
     pub fn restore(&mut self, request: &Id, body: Body) {
         if self.turns.contains_key(request) {
-            self.bodies.restore(request.clone(), body);
+            self.bodies.restore(request, body);
             self.trim();
         }
     }
--- a/crates/gradedyke-turns/src/load.rs
+++ b/crates/gradedyke-turns/src/load.rs
@@ -38,8 +38,12 @@
     pub requests: u32,
     /// Tokens of their prompts.
     pub tokens: u64,
-    /// Entries where a request failed lately by the server's fault.
+    /// Requests that failed lately by the server's fault.
     pub failures: u32,
+    /// Requests that ended lately, one way or the other.
+    pub ended: u32,
+    /// Entries that could not reach the server lately.
+    pub unreached: u32,
 }
 
 /// What one entry has in progress.
@@ -101,7 +105,7 @@
     /// use gradedyke_turns::load::{Board, Busy, Report};
     ///
     /// let now = tokio::time::Instant::now();
-    /// let busy = |requests| vec![Busy { server: 7, requests, tokens: 100, failures: 0 }];
+    /// let busy = |requests| vec![Busy { server: 7, requests, tokens: 100, failures: 0, ended: 0, unreached: 0 }];
     /// let mut board = Board::default();
     /// board.put(Report { entry: 1, address: None, busy: busy(2) }, now);
     /// board.put(Report { entry: 2, address: None, busy: busy(3) }, now);
@@ -120,6 +124,8 @@
             sum.requests += busy.requests;
             sum.tokens += busy.tokens;
             sum.failures += busy.failures;
+            sum.ended += busy.ended;
+            sum.unreached += busy.unreached;
         }
         sums.into_values().collect()
     }
--- a/crates/gradedyke-turns/tests/log.rs
+++ b/crates/gradedyke-turns/tests/log.rs
@@ -149,7 +149,8 @@
             .zip(&records)
         {
             let place = place.unwrap();
-            assert_eq!(log.read(&[place]).unwrap(), [record.clone()]);
+            let read = log.read(&[place]).unwrap();
+            assert_eq!(read.iter().collect::<Vec<_>>(), [record]);
             places.push(place);
         }
     }
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -286,6 +286,8 @@
                 requests,
                 tokens: 10,
                 failures: 0,
+                ended: 0,
+                unreached: 0,
             }],
         },
         time: Duration::from_secs(1),
