Connections to servers break when nothing is acknowledged for 700 ms

Ruled out: shorter rests of connections; also fresh ones were lost, and new connections are priced.

Change: TCP's user timeout, and keepalive probes each second for requests that were acknowledged before the other side went.

Test: a_server_that_takes_nothing_in_is_given_up_before_the_request_is; it waits for 20 s with the old code.

--- a/crates/gradedyke-gateway/src/link.rs
+++ b/crates/gradedyke-gateway/src/link.rs
@@ -4,6 +4,7 @@
 //! Only a connect that failed, or a connection that closed before it took the
 //! request, says for certain that it did not.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -21,6 +23,14 @@
 /// lost opening packet is sent again after a second, and another server is
 /// better than waiting for that.
 const CONNECT: Duration = Duration::from_millis(300);
+/// Longest time for which sent bytes may stay unacknowledged. A server that was
+/// cut off or lost power says nothing, and requests to it would wait for their
+/// whole time. Three tries of the system to send a packet again fit in, and the
+/// acknowledgement comes from the server's system, however slow the server is.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
+/// Silence after which the server's system is asked whether it is still there, and
+/// the wait before it is asked again: the shortest that sockets allow.
+const PROBE: Duration = Duration::from_secs(1);
 /// Longest rest of a connection that is used for a request which must not run
 /// twice. Servers in use close theirs after 1.5 s and more, and a request that
 /// meets the closing may have run.
@@ -62,6 +72,15 @@
     }
 }
 
+/// Has a connection send at once, and break when the other side is gone.
+fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
 /// The connections to one server.
 pub struct Pool {
     address: SocketAddr,
@@ -118,9 +137,7 @@
         let stream = connect
             .map_err(|_| not_sent("no answer to the connect".to_owned()))?
             .map_err(|e| not_sent(e.to_string()))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|e| not_sent(e.to_string()))?;
+        tune(&stream).map_err(|e| not_sent(e.to_string()))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
