Send a request that may be repeated beside one that is far too late

Change: after 1.5 times the objective a second attempt goes to another server, within the attempts of the route; the first good answer is passed on, and the other attempt is read to its end. Attempts share the trail of servers.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -4,6 +4,7 @@
 //! request. Whether to try again after that is the caller of [`dispatch`]'s to
 //! decide.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,11 +28,6 @@
 /// even take it in.
 const LEAST: Duration = Duration::from_millis(5);
 
-/// How many times its objective a request waits for the head of an answer before
-/// the server is taken for a slow one. Objectives in use are 4 to 5 times the
-/// usual time of a request.
-const LATE: f64 = 1.5;
-
 /// The head of an answer that belongs to the request.
 pub struct Answered {
     /// The server.
@@ -71,18 +67,47 @@
 /// besides those the route allows to be sent to.
 const UNREACHED: u32 = 3;
 
-/// The servers that a request has been at.
+/// The servers that a request has been at. Attempts side by side share one.
+#[derive(Debug, Default)]
+pub struct Trail(Mutex<Steps>);
+
 #[derive(Debug, Default)]
-pub struct Trail {
+struct Steps {
     tried: Vec<Key>,
+    /// Servers that got the request, or are just being sent it.
     sent: u32,
     unreached: u32,
 }
 
+impl Steps {
+    fn open(&self, call: &Call) -> bool {
+        self.sent < call.route.attempts && self.unreached < UNREACHED
+    }
+}
+
 impl Trail {
+    fn lock(&self) -> MutexGuard<'_, Steps> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether another server may be tried.
     pub fn open(&self, call: &Call) -> bool {
-        self.sent < call.route.attempts && self.unreached < UNREACHED
+        self.lock().open(call)
+    }
+
+    /// Counts the next sending, if there may be one.
+    fn claim(&self, call: &Call) -> bool {
+        let mut steps = self.lock();
+        let open = steps.open(call);
+        steps.sent += u32::from(open);
+        open
+    }
+
+    /// Takes a claimed sending back: the server was not reached.
+    fn unreached(&self) {
+        let mut steps = self.lock();
+        steps.sent -= 1;
+        steps.unreached += 1;
     }
 }
 
@@ -96,25 +121,18 @@
 pub async fn dispatch(
     entry: &Entry,
     call: &Call,
-    trail: &mut Trail,
+    trail: &Trail,
     question: &Question<'_>,
     body: &Bytes,
 ) -> Result<Answered, Refusal> {
-    while trail.open(call) {
+    while trail.claim(call) {
         let choice = choose(entry, call, trail, question).ok_or(Refusal::NoServer)?;
-        trail.tried.push(choice.key);
         match send(entry, call, choice, body.clone()).await {
-            Outcome::Answered(answered) => {
-                trail.sent += 1;
-                return Ok(*answered);
-            }
+            Outcome::Answered(answered) => return Ok(*answered),
             Outcome::NotRun(Unrun::NoTime) => return Err(Refusal::TooLate),
-            Outcome::NotRun(Unrun::Unreachable) => trail.unreached += 1,
-            Outcome::NotRun(Unrun::Refused | Unrun::Misdirected) => trail.sent += 1,
-            Outcome::Unknown => {
-                trail.sent += 1;
-                return Err(Refusal::Broken);
-            }
+            Outcome::NotRun(Unrun::Unreachable) => trail.unreached(),
+            Outcome::NotRun(Unrun::Refused | Unrun::Misdirected) => {}
+            Outcome::Unknown => return Err(Refusal::Broken),
             Outcome::TimedOut => return Err(Refusal::TimedOut),
         }
     }
@@ -164,7 +182,7 @@
     sending: impl Future<Output = T>,
 ) -> Result<T, tokio::time::error::Elapsed> {
     tokio::pin!(sending);
-    let late = Instant::now() + call.route.objective.mul_f64(LATE);
+    let late = call.late(Instant::now());
     if call.engine().is_none() && late < call.until {
         if let Ok(sent) = tokio::time::timeout_at(late, &mut sending).await {
             return Ok(sent);
@@ -230,14 +248,16 @@
 /// Chooses a server for the request, with a line that says what decided.
 fn choose(entry: &Entry, call: &Call, trail: &Trail, question: &Question<'_>) -> Option<Choice> {
     let now = Instant::now();
+    let mut steps = trail.lock();
     let asked = Question {
-        tried: &trail.tried,
+        tried: &steps.tried,
         now,
         ..question.clone()
     };
     let choice = entry.fleet.choose(&asked);
+    steps.tried.extend(choice.as_ref().map(|c| c.key));
     let age = entry.mirror.age(now);
-    tracing::info!(event = "placed", request = %call.id, attempt = trail.tried.len() + 1,
+    tracing::info!(event = "placed", request = %call.id, attempt = steps.tried.len(),
         server = choice.as_ref().map_or("none", |c| c.id.as_str()),
         holder = question.holder.map_or("none", Id::as_str),
         route = call.route.name, config = call.config.version,
--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -11,6 +11,11 @@
 use crate::config::{Config, Route};
 use crate::dialect::Meta;
 
+/// How many times its objective a request waits for the head of an answer before
+/// its server is taken for one that may not answer at all. Objectives in use are 4
+/// to 5 times the usual time of a request.
+const LATE: f64 = 1.5;
+
 /// A request that was read whole and has a route.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -44,6 +49,11 @@
         self.until.saturating_duration_since(now)
     }
 
+    /// When an answer to what is sent at `now` is far later than usual.
+    pub fn late(&self, now: Instant) -> Instant {
+        now + self.route.objective.mul_f64(LATE)
+    }
+
     /// Whether the service runs models.
     pub fn engine(&self) -> Option<crate::config::Engine> {
         self.config.services.get(&self.service)?.engine
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -130,10 +130,11 @@
             Ok(call) => call,
             Err(refusal) => return Err((refusal, Some(meta))),
         };
+        let call = Arc::new(call);
         let served = match call.route.kind {
-            Kind::Stream => turn::serve(self, Arc::new(call)).await,
+            Kind::Stream => turn::serve(self, call).await,
             Kind::Idempotent | Kind::Once => {
-                let served = plain::serve(self, &call);
+                let served = plain::serve(self, call.clone());
                 // An answer that comes in the last moment is still wanted.
                 let served = tokio::time::timeout_at(call.until, served).await;
                 served.unwrap_or(Err(Refusal::TimedOut))
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -2,7 +2,11 @@
 //!
 //! Reading it first costs a millisecond for the sizes in use and means that a
 //! caller never gets a part of an answer, and that one which breaks off can be
-//! fetched again where repeating does no harm.
+//! fetched again where repeating does no harm. Where an answer is far later than
+//! usual, that is done without waiting for the first one to break off: a server
+//! that hangs cannot be told from one that is slow.
+
+use std::sync::Arc;
 
 use bytes::Bytes;
 use gradedyke_http::{Body, body};
@@ -20,12 +24,49 @@
 
 /// Largest answer that is read, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
+
+type Served = Result<Response<Body>, Refusal>;
+
 /// Serves the request.
 ///
 /// # Errors
 ///
 /// The [`Refusal`] to answer with.
-pub async fn serve(entry: &Entry, call: &Call) -> Result<Response<Body>, Refusal> {
+pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Served {
+    let trail = Arc::new(Trail::default());
+    let late = call.late(Instant::now());
+    let again = call.route.kind == Kind::Idempotent;
+    let mut first = Box::pin(run(entry.clone(), call.clone(), trail.clone()));
+    if !again || late >= call.until {
+        return first.await;
+    }
+    if let Ok(served) = tokio::time::timeout_at(late, &mut first).await {
+        return served;
+    }
+    if !trail.open(&call) {
+        return first.await;
+    }
+    tracing::info!(event = "sent_beside", request = %call.id,
+        waited_ms = call.arrived.elapsed().as_millis());
+    let mut second = Box::pin(run(entry.clone(), call, trail));
+    tokio::select! {
+        served = &mut first => either(served, second).await,
+        served = &mut second => either(served, first).await,
+    }
+}
+
+/// The answer that came first, or the other one if that is none. One that is no
+/// longer needed is read to its end: its server works on it already.
+async fn either(served: Served, other: impl Future<Output = Served> + Send + 'static) -> Served {
+    if served.is_err() {
+        return other.await.or(served);
+    }
+    tokio::spawn(other);
+    served
+}
+
+/// Sends the request to servers until one has answered it whole.
+async fn run(entry: Arc<Entry>, call: Arc<Call>, trail: Arc<Trail>) -> Served {
     let question = Question {
         service: &call.service,
         request: &call.id,
@@ -39,12 +80,11 @@
         repeatable: call.route.kind == Kind::Idempotent,
         now: call.arrived,
     };
-    let mut trail = Trail::default();
     let mut may_have_run = false;
-    while trail.open(call) {
-        match attempt::dispatch(entry, call, &mut trail, &question, &call.body).await {
+    while trail.open(&call) {
+        match attempt::dispatch(&entry, &call, &trail, &question, &call.body).await {
             Ok(answered) => {
-                if let Some(response) = read(entry, call, answered).await {
+                if let Some(response) = read(&entry, &call, answered).await {
                     return Ok(response);
                 }
             }
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -56,8 +56,8 @@
         None => call.body.clone(),
     };
     let question = question(&call, chain.as_ref());
-    let mut trail = Trail::default();
-    let dispatched = attempt::dispatch(entry, &call, &mut trail, &question, &body);
+    let trail = Trail::default();
+    let dispatched = attempt::dispatch(entry, &call, &trail, &question, &body);
     let answered = match dispatched.await {
         Ok(answered) => answered,
         Err(refusal) => {
