Keep requests and programs in arenas, refer to them by small keys

Change: slot maps for requests and programs; a name is looked up once a record. One name for all turns of a server and a program. Conversations and expiry have modules of their own.

Tests: those of the index, unchanged but for the import of Chain, and what_has_expired_may_come_again.

--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use gradedyke_http::body::{Failure, Sender};
 use gradedyke_http::{Body, body};
-use gradedyke_turns::index::Chain;
+use gradedyke_turns::conversation::Chain;
 use gradedyke_turns::quorum::{self, Ask};
 use gradedyke_turns::record::{Record, Reserved, Settled, Turn};
 use http::{Response, StatusCode};
--- a/crates/gradedyke-turns/src/body.rs
+++ b/crates/gradedyke-turns/src/body.rs
@@ -6,11 +6,10 @@
 //! that was read since its turn came is passed over once. Exact recency was
 //! given up, because it would move an entry with each read.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 
 use bytes::Bytes;
-
-use crate::record::Id;
+use slotmap::{Key, SecondaryMap};
 
 /// What a turn adds to its conversation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,20 +32,20 @@
     read: bool,
 }
 
-/// Bodies in memory, by the request of their turn.
-pub struct Cache {
-    slots: HashMap<Id, Slot>,
+/// Bodies in memory, by the key of their turn.
+pub struct Cache<K: Key> {
+    slots: SecondaryMap<K, Slot>,
     /// The order in which they go.
-    order: VecDeque<Id>,
+    order: VecDeque<K>,
     bytes: usize,
     limit: usize,
 }
 
-impl Cache {
+impl<K: Key> Cache<K> {
     /// An empty cache that holds up to `limit` bytes of bodies.
     pub fn new(limit: usize) -> Self {
         Self {
-            slots: HashMap::new(),
+            slots: SecondaryMap::new(),
             order: VecDeque::new(),
             bytes: 0,
             limit,
@@ -62,66 +61,67 @@
     ///
     /// ```
     /// use gradedyke_turns::body::{Body, Cache};
-    /// use gradedyke_turns::record::Id;
     ///
-    /// let mut cache = Cache::new(4);
-    /// for name in ["a", "b"] {
-    ///     let body = Body { input: "in".into(), output: "out".into() };
-    ///     cache.put(Id::parse(name).unwrap(), body);
+    /// let mut turns = slotmap::SlotMap::new();
+    /// let (first, second) = (turns.insert("a"), turns.insert("b"));
+    /// let mut cache = Cache::new(6);
+    /// for turn in [first, second] {
+    ///     cache.put(turn, Body { input: "in".into(), output: "out".into() });
     /// }
     /// cache.trim(|_| true);
-    /// assert!(cache.get(&Id::parse("a").unwrap()).is_none());
+    /// assert!(cache.get(first).is_none());
+    /// assert!(cache.get(second).is_some());
     /// ```
-    pub fn put(&mut self, id: Id, body: Body) {
-        if self.slots.contains_key(&id) {
+    pub fn put(&mut self, turn: K, body: Body) {
+        if self.slots.contains_key(turn) {
             return;
         }
         self.bytes += body.bytes();
-        self.order.push_back(id.clone());
-        self.slots.insert(id, Slot { body, read: false });
+        self.order.push_back(turn);
+        self.slots.insert(turn, Slot { body, read: false });
     }
 
     /// Takes a body in that was read from disk because it is in use.
-    pub fn restore(&mut self, id: &Id, body: Body) {
-        self.put(id.clone(), body);
-        if let Some(slot) = self.slots.get_mut(id) {
+    pub fn restore(&mut self, turn: K, body: Body) {
+        self.put(turn, body);
+        if let Some(slot) = self.slots.get_mut(turn) {
             slot.read = true;
         }
     }
 
     /// The body of a turn, if it is held.
-    pub fn get(&mut self, id: &Id) -> Option<Body> {
-        let slot = self.slots.get_mut(id)?;
+    pub fn get(&mut self, turn: K) -> Option<Body> {
+        let slot = self.slots.get_mut(turn)?;
         slot.read = true;
         Some(slot.body.clone())
     }
 
     /// Forgets the body of a turn.
-    pub fn remove(&mut self, id: &Id) {
+    pub fn remove(&mut self, turn: K) {
         // Its place in the order is passed over when it comes up.
-        if let Some(slot) = self.slots.remove(id) {
+        if let Some(slot) = self.slots.remove(turn) {
             self.bytes -= slot.body.bytes();
         }
     }
 
     /// Forgets bodies until the limit is kept, as far as `stored` says that they
     /// can be read again.
-    pub fn trim(&mut self, stored: impl Fn(&Id) -> bool) {
+    pub fn trim(&mut self, stored: impl Fn(K) -> bool) {
         // Each is looked at twice at most: the first look may only unmark it.
         let mut looks = 2 * self.order.len();
         while self.bytes > self.limit && looks > 0 {
             looks -= 1;
-            let Some(id) = self.order.pop_front() else {
+            let Some(turn) = self.order.pop_front() else {
                 return;
             };
-            let Some(slot) = self.slots.get_mut(&id) else {
+            let Some(slot) = self.slots.get_mut(turn) else {
                 continue;
             };
             let kept = std::mem::take(&mut slot.read);
-            if kept || !stored(&id) {
-                self.order.push_back(id);
+            if kept || !stored(turn) {
+                self.order.push_back(turn);
             } else {
-                self.remove(&id);
+                self.remove(turn);
             }
         }
     }
--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -3,15 +3,21 @@
 //! Records may come in any order and more than once. A turn is kept as long as
 //! any turn that continues it: each use of a turn renews its whole chain. What was
 //! said in a turn is held in memory up to a limit; the rest is read from disk.
+//!
+//! Requests and programs lie in arenas and refer to each other by small keys: a
+//! name is looked up once for a record, and a chain is walked without hashing.
+
+mod expire;
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
 use crate::body::{Body, Cache};
+use crate::conversation::{Conversation, Part};
 use crate::log::{Place, Segment};
 use crate::record::{Id, Key, Kind, Record, Reserved, Settled, Turn};
 
@@ -30,84 +36,73 @@
     pub settled: bool,
 }
 
-/// The conversation up to and with a turn.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Chain {
-    /// Inputs and outputs, oldest first.
-    pub body: Bytes,
-    /// The backend server that ran the last turn.
-    pub server: Id,
-}
-
-/// A part of a conversation.
+/// A record that was asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Part {
-    /// It is in memory.
-    Held(Body),
+pub enum Answer {
+    /// It follows from what is in memory.
+    Held(Record),
     /// It is on disk only.
     Stored(Place),
 }
 
-/// The conversation up to and with a turn, as far as it is in memory.
-#[derive(Clone, Debug)]
-pub struct Conversation {
-    /// Its turns, oldest first.
-    pub parts: Vec<(Id, Part)>,
-    /// The backend server that ran the last turn.
-    pub server: Id,
+new_key_type! {
+    /// A request of which there are records, or which a turn continues.
+    pub struct RequestKey;
+    struct ProgramKey;
 }
 
-impl Conversation {
-    /// The turns that have to be read from disk.
-    pub fn stored(&self) -> Vec<Place> {
-        let places = self.parts.iter().filter_map(|(_, part)| match part {
-            Part::Held(_) => None,
-            Part::Stored(place) => Some(*place),
-        });
-        places.collect()
-    }
+/// Where a record is.
+#[derive(Clone, Copy)]
+struct Spot {
+    segment: Segment,
+    /// Where exactly, once that is known.
+    place: Option<Place>,
+}
 
-    /// The whole conversation, with `read` for the parts that are not in memory, in
-    /// their order; `None` if one is missing there.
-    pub fn chain(&self, read: &[Body]) -> Option<Chain> {
-        let mut read = read.iter();
-        let mut body = BytesMut::new();
-        for (_, part) in &self.parts {
-            let turn = match part {
-                Part::Held(held) => held,
-                Part::Stored(_) => read.next()?,
-            };
-            body.extend_from_slice(&turn.input);
-            body.extend_from_slice(&turn.output);
+/// What the records of one request say.
+struct Request {
+    id: Id,
+    program: Option<ProgramKey>,
+    reserved: Option<u32>,
+    settled: Option<u32>,
+    turn: Option<Box<Kept>>,
+    /// Where its records are, by kind.
+    spots: [Option<Spot>; KINDS],
+}
+
+/// Kinds of record.
+const KINDS: usize = 3;
+
+impl Request {
+    fn new(id: Id) -> Self {
+        Self {
+            id,
+            program: None,
+            reserved: None,
+            settled: None,
+            turn: None,
+            spots: [None; KINDS],
         }
-        Some(Chain {
-            body: body.freeze(),
-            server: self.server.clone(),
-        })
     }
-}
 
-/// A record that was asked for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// It follows from what is in memory.
-    Held(Record),
-    /// It is on disk only.
-    Stored(Place),
-}
+    fn has(&self, kind: Kind) -> bool {
+        self.spots[kind as usize].is_some()
+    }
 
-struct Use {
-    reserved: Option<u32>,
-    settled: Option<u32>,
+    fn is_empty(&self) -> bool {
+        self.spots.iter().all(Option::is_none)
+    }
 }
 
 struct Program {
-    attempts: HashMap<Id, Use>,
+    name: Id,
+    attempts: Vec<RequestKey>,
     until: Instant,
 }
 
+/// A turn without what was said in it.
 struct Kept {
-    parent: Option<Id>,
+    parent: Option<RequestKey>,
     server: Id,
     program: Option<Id>,
     tokens: u32,
@@ -115,30 +110,6 @@
     until: Instant,
 }
 
-impl Kept {
-    /// The turn again, with what was said in it.
-    fn turn(&self, request: &Id, body: Body) -> Turn {
-        Turn {
-            request: request.clone(),
-            parent: self.parent.clone(),
-            input: body.input,
-            output: body.output,
-            server: self.server.clone(),
-            program: self.program.clone(),
-            tokens: self.tokens,
-            keep_ms: self.keep_ms,
-        }
-    }
-}
-
-/// Where a record is.
-#[derive(Clone, Copy)]
-struct Spot {
-    segment: Segment,
-    /// Where exactly, once that is known.
-    place: Option<Place>,
-}
-
 /// Where in the stream of arrivals a reader stands.
 pub type Position = u64;
 
@@ -149,121 +120,156 @@
 
 /// The state of a replica.
 pub struct Index {
-    programs: HashMap<Id, Program>,
-    turns: HashMap<Id, Kept>,
-    bodies: Cache,
-    /// Programs of attempts, to find the record of a key.
-    owners: HashMap<Id, Id>,
-    /// Keys in the order of their arrival, for replicas that follow.
-    arrivals: VecDeque<Key>,
+    requests: SlotMap<RequestKey, Request>,
+    names: HashMap<Id, RequestKey>,
+    programs: SlotMap<ProgramKey, Program>,
+    program_names: HashMap<Id, ProgramKey>,
+    /// Servers that ran turns, one name for all their turns.
+    servers: HashSet<Id>,
+    bodies: Cache<RequestKey>,
+    /// Turns that are kept.
+    turns: usize,
+    /// Records in the order of their arrival, for replicas that follow.
+    arrivals: VecDeque<(Kind, RequestKey)>,
     /// Position of the first of them.
     first: Position,
-    spots: HashMap<Key, Spot>,
-    live: HashMap<Segment, usize>,
+    /// Records that each segment holds.
+    live: BTreeMap<Segment, usize>,
 }
 
 impl Index {
     /// An empty index that holds up to `bodies` bytes of conversations in memory.
     pub fn new(bodies: usize) -> Self {
         Self {
-            programs: HashMap::new(),
-            turns: HashMap::new(),
+            requests: SlotMap::with_key(),
+            names: HashMap::new(),
+            programs: SlotMap::with_key(),
+            program_names: HashMap::new(),
+            servers: HashSet::new(),
             bodies: Cache::new(bodies),
-            owners: HashMap::new(),
+            turns: 0,
             arrivals: VecDeque::new(),
             first: 0,
-            spots: HashMap::new(),
-            live: HashMap::new(),
+            live: BTreeMap::new(),
         }
     }
 
     /// Whether a record with `key` is here.
     pub fn has(&self, key: &Key) -> bool {
-        self.spots.contains_key(key)
+        self.find(&key.request).is_some_and(|r| r.has(key.kind))
+    }
+
+    fn find(&self, id: &Id) -> Option<&Request> {
+        self.requests.get(*self.names.get(id)?)
+    }
+
+    /// The key of a request, made if it is new.
+    fn key(&mut self, id: &Id) -> RequestKey {
+        if let Some(key) = self.names.get(id) {
+            return *key;
+        }
+        let key = self.requests.insert(Request::new(id.clone()));
+        self.names.insert(id.clone(), key);
+        key
     }
 
     /// Takes a record in that is written to `segment`. Tells whether it is new.
     pub fn apply(&mut self, record: &Record, segment: Segment, now: Instant) -> bool {
-        let key = record.key();
-        if self.has(&key) {
+        let Key { kind, request } = record.key();
+        let key = self.key(&request);
+        if self.requests[key].has(kind) {
             return false;
         }
         let until = now + record.keep() + KEEP_MARGIN;
         match record {
-            Record::Reserved(Reserved {
-                program, tokens, ..
-            }) => {
-                self.attempt(program, &key.request, until).reserved = Some(*tokens);
-            }
-            Record::Settled(Settled {
-                program, tokens, ..
-            }) => {
-                self.attempt(program, &key.request, until).settled = Some(*tokens);
+            Record::Reserved(reserved) => {
+                self.attempt(&reserved.program, key, until);
+                self.requests[key].reserved = Some(reserved.tokens);
             }
-            Record::Turn(turn) => {
-                if let Some(program) = &turn.program {
-                    self.attempt(program, &key.request, until).settled = Some(turn.tokens);
-                }
-                self.renew(turn.parent.clone(), now);
-                self.insert(turn, until);
+            Record::Settled(settled) => {
+                self.attempt(&settled.program, key, until);
+                self.requests[key].settled = Some(settled.tokens);
             }
+            Record::Turn(turn) => self.insert(key, turn, until, now),
         }
-        let spot = Spot {
-            segment,
-            place: None,
-        };
-        self.spots.insert(key.clone(), spot);
+        let place = None;
+        self.requests[key].spots[kind as usize] = Some(Spot { segment, place });
         *self.live.entry(segment).or_default() += 1;
-        self.arrivals.push_back(key);
+        self.arrivals.push_back((kind, key));
         true
     }
 
-    fn insert(&mut self, turn: &Turn, until: Instant) {
+    fn insert(&mut self, key: RequestKey, turn: &Turn, until: Instant, now: Instant) {
+        if let Some(program) = &turn.program {
+            self.attempt(program, key, until);
+            self.requests[key].settled = Some(turn.tokens);
+        }
+        let program = turn.program.as_ref().and(self.requests[key].program);
+        let program = program.map(|key| self.programs[key].name.clone());
+        let server = self.server(&turn.server);
+        let parent = turn.parent.as_ref().map(|id| self.key(id));
+        self.renew(parent, now);
         let body = Body {
             input: turn.input.clone(),
             output: turn.output.clone(),
         };
-        self.bodies.put(turn.request.clone(), body);
-        let kept = Kept {
-            parent: turn.parent.clone(),
-            server: turn.server.clone(),
-            program: turn.program.clone(),
+        self.bodies.put(key, body);
+        self.turns += 1;
+        self.requests[key].turn = Some(Box::new(Kept {
+            parent,
+            server,
+            program,
             tokens: turn.tokens,
             keep_ms: turn.keep_ms,
             until,
-        };
-        self.turns.insert(turn.request.clone(), kept);
+        }));
+    }
+
+    /// The one name of a server.
+    fn server(&mut self, id: &Id) -> Id {
+        if let Some(known) = self.servers.get(id) {
+            return known.clone();
+        }
+        self.servers.insert(id.clone());
+        id.clone()
     }
 
     /// Notes where a record is on disk, once that is known. From then on it need
     /// not be in memory.
     pub fn place(&mut self, key: &Key, place: Place) {
-        let Some(spot) = self.spots.get_mut(key) else {
+        let request = self.names.get(&key.request).copied();
+        let request = request.and_then(|r| self.requests.get_mut(r));
+        let spot = request.and_then(|r| r.spots[key.kind as usize].as_mut());
+        let Some(spot) = spot else {
             return;
         };
-        if let Some(live) = self.live.get_mut(&spot.segment) {
+        let before = std::mem::replace(&mut spot.segment, place.segment);
+        spot.place = Some(place);
+        if let Some(live) = self.live.get_mut(&before) {
             *live -= 1;
         }
-        spot.segment = place.segment;
-        spot.place = Some(place);
         *self.live.entry(place.segment).or_default() += 1;
         self.trim();
     }
 
     /// Brings a turn's body, as it was read from disk, back into memory.
     pub fn restore(&mut self, request: &Id, body: Body) {
-        if self.turns.contains_key(request) {
-            self.bodies.restore(request, body);
+        let Some(key) = self.names.get(request).copied() else {
+            return;
+        };
+        if self.requests[key].turn.is_some() {
+            self.bodies.restore(key, body);
             self.trim();
         }
     }
 
     fn trim(&mut self) {
-        let spots = &self.spots;
-        self.bodies.trim(|request| {
-            let key = turn_key(request);
-            spots.get(&key).is_some_and(|s| s.place.is_some())
-        });
+        let requests = &self.requests;
+        let stored = |key: RequestKey| {
+            let spot = requests.get(key).and_then(|r| r.spots[Kind::Turn as usize]);
+            spot.is_some_and(|s| s.place.is_some())
+        };
+        self.bodies.trim(stored);
     }
 
     /// Bytes of conversations in memory.
@@ -271,73 +277,88 @@
         self.bodies.bytes()
     }
 
-    fn attempt(&mut self, program: &Id, request: &Id, until: Instant) -> &mut Use {
-        self.owners.insert(request.clone(), program.clone());
-        let new = || Program {
-            attempts: HashMap::new(),
-            until,
+    /// Counts a request as an attempt of a program, until then.
+    fn attempt(&mut self, program: &Id, request: RequestKey, until: Instant) {
+        let key = match self.program_names.get(program) {
+            Some(key) => *key,
+            None => {
+                let key = self.programs.insert(Program {
+                    name: program.clone(),
+                    attempts: Vec::new(),
+                    until,
+                });
+                self.program_names.insert(program.clone(), key);
+                key
+            }
         };
-        let entry = self.programs.entry(program.clone()).or_insert_with(new);
-        entry.until = entry.until.max(until);
-        entry.attempts.entry(request.clone()).or_insert(Use {
-            reserved: None,
-            settled: None,
-        })
+        let program = &mut self.programs[key];
+        program.until = program.until.max(until);
+        let owner = &mut self.requests[request].program;
+        if owner.is_none() {
+            *owner = Some(key);
+            program.attempts.push(request);
+        }
     }
 
     /// Keeps a turn and all it continues for their whole time from `now`.
-    fn renew(&mut self, mut id: Option<Id>, now: Instant) {
-        while let Some(kept) = id.and_then(|id| self.turns.get_mut(&id)) {
-            let keep = Duration::from_millis(kept.keep_ms.into());
-            kept.until = now + keep + KEEP_MARGIN;
-            id = kept.parent.clone();
+    fn renew(&mut self, mut next: Option<RequestKey>, now: Instant) {
+        while let Some(turn) = next.and_then(|key| self.requests[key].turn.as_mut()) {
+            let keep = Duration::from_millis(turn.keep_ms.into());
+            turn.until = now + keep + KEEP_MARGIN;
+            next = turn.parent;
         }
     }
 
     /// The attempts of a program.
     pub fn attempts(&self, program: &Id) -> Vec<Attempt> {
-        let Some(program) = self.programs.get(program) else {
+        let Some(program) = self.program_names.get(program) else {
             return Vec::new();
         };
-        let attempt = |(request, used): (&Id, &Use)| Attempt {
-            request: request.clone(),
-            tokens: used.settled.or(used.reserved).unwrap_or_default(),
-            settled: used.settled.is_some(),
+        let requests = self.programs[*program].attempts.iter();
+        let requests = requests.map(|key| &self.requests[*key]);
+        let attempt = |request: &Request| Attempt {
+            request: request.id.clone(),
+            tokens: request.settled.or(request.reserved).unwrap_or_default(),
+            settled: request.settled.is_some(),
         };
-        program.attempts.iter().map(attempt).collect()
+        requests.map(attempt).collect()
     }
 
     /// Whether a turn and all it continues are here.
     pub fn has_chain(&self, id: &Id) -> bool {
-        let mut next = Some(id);
-        while let Some(id) = next {
-            let Some(kept) = self.turns.get(id) else {
+        let mut next = self.names.get(id).copied();
+        if next.is_none() {
+            return false;
+        }
+        while let Some(key) = next {
+            let Some(turn) = &self.requests[key].turn else {
                 return false;
             };
-            next = kept.parent.as_ref();
+            next = turn.parent;
         }
         true
     }
 
     /// The conversation up to and with a turn, if all of it is here.
     pub fn conversation(&mut self, id: &Id) -> Option<Conversation> {
-        let server = self.turns.get(id)?.server.clone();
+        let last = *self.names.get(id)?;
+        let server = self.requests[last].turn.as_ref()?.server.clone();
         let mut parts = Vec::new();
-        let mut next = Some(id.clone());
-        while let Some(id) = next {
-            next = self.turns.get(&id)?.parent.clone();
-            let part = self.part(&id)?;
-            parts.push((id, part));
+        let mut next = Some(last);
+        while let Some(key) = next {
+            next = self.requests[key].turn.as_ref()?.parent;
+            let part = self.part(key)?;
+            parts.push((self.requests[key].id.clone(), part));
         }
         parts.reverse();
         Some(Conversation { parts, server })
     }
 
-    fn part(&mut self, id: &Id) -> Option<Part> {
-        if let Some(body) = self.bodies.get(id) {
+    fn part(&mut self, key: RequestKey) -> Option<Part> {
+        if let Some(body) = self.bodies.get(key) {
             return Some(Part::Held(body));
         }
-        let spot = self.spots.get(&turn_key(id))?;
+        let spot = self.requests[key].spots[Kind::Turn as usize]?;
         spot.place.map(Part::Stored)
     }
 
@@ -350,102 +371,80 @@
     /// them. Positions before the first that is remembered start there: what
     /// was forgotten has expired.
     pub fn arrived(&self, from: Position, most: usize) -> (Vec<Key>, Position) {
-        let skip = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
-        let keys: Vec<Key> = self
-            .arrivals
-            .iter()
-            .skip(skip)
-            .take(most)
-            .cloned()
-            .collect();
-        let next = from.max(self.first).min(self.end()) + keys.len() as u64;
-        (keys, next)
+        let from = from.clamp(self.first, self.end());
+        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
+        let page = self.arrivals.iter().skip(skip).take(most);
+        let next = from + page.len() as u64;
+        // What has expired among them is passed over.
+        let keys = page.filter_map(|(kind, key)| {
+            let request = self.requests.get(*key)?.id.clone();
+            Some(Key {
+                kind: *kind,
+                request,
+            })
+        });
+        (keys.collect(), next)
     }
 
     /// The record of a key, if it is here.
     pub fn record(&mut self, key: &Key) -> Option<Answer> {
-        if key.kind == Kind::Turn {
-            return self.turn(&key.request);
+        let request = *self.names.get(&key.request)?;
+        match key.kind {
+            Kind::Turn => self.turn(request),
+            Kind::Reserved => self.reserved(request).map(Answer::Held),
+            Kind::Settled => self.settled(request).map(Answer::Held),
         }
-        self.used(key).map(Answer::Held)
     }
 
-    fn turn(&mut self, request: &Id) -> Option<Answer> {
-        let part = self.part(request)?;
-        let kept = self.turns.get(request)?;
-        Some(match part {
-            Part::Held(body) => Answer::Held(Record::Turn(kept.turn(request, body))),
-            Part::Stored(place) => Answer::Stored(place),
-        })
+    fn turn(&mut self, key: RequestKey) -> Option<Answer> {
+        let part = self.part(key)?;
+        let request = &self.requests[key];
+        let kept = request.turn.as_ref()?;
+        let body = match part {
+            Part::Held(body) => body,
+            Part::Stored(place) => return Some(Answer::Stored(place)),
+        };
+        let parent = kept.parent.map(|key| self.requests[key].id.clone());
+        Some(Answer::Held(Record::Turn(Turn {
+            request: request.id.clone(),
+            parent,
+            input: body.input,
+            output: body.output,
+            server: kept.server.clone(),
+            program: kept.program.clone(),
+            tokens: kept.tokens,
+            keep_ms: kept.keep_ms,
+        })))
     }
 
-    /// The record of what an attempt reserved or used.
-    fn used(&self, key: &Key) -> Option<Record> {
-        let program = self.owners.get(&key.request)?;
-        let owner = self.programs.get(program)?;
-        let used = owner.attempts.get(&key.request)?;
-        let now = Instant::now();
-        let left = owner.until.saturating_duration_since(now);
+    /// The name of an attempt's program, and how long its attempts count still.
+    fn owner(&self, request: &Request) -> Option<(Id, u32)> {
+        let program = &self.programs[request.program?];
+        let left = program.until.saturating_duration_since(Instant::now());
         let keep_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-        let (program, request) = (program.clone(), key.request.clone());
-        Some(match key.kind {
-            Kind::Reserved => Record::Reserved(Reserved {
-                program,
-                request,
-                tokens: used.reserved?,
-                keep_ms,
-            }),
-            _ => Record::Settled(Settled {
-                program,
-                request,
-                tokens: used.settled?,
-                keep_ms,
-            }),
-        })
+        Some((program.name.clone(), keep_ms))
     }
 
-    /// Forgets what has expired and returns the segments that hold nothing any
-    /// more.
-    pub fn expire(&mut self, now: Instant) -> Vec<Segment> {
-        let mut gone: HashSet<Key> = HashSet::new();
-        let key = |kind, request: &Id| Key {
-            kind,
-            request: request.clone(),
-        };
-        let bodies = &mut self.bodies;
-        self.turns.retain(|id, kept| {
-            let keep = kept.until > now;
-            if !keep {
-                gone.insert(turn_key(id));
-                bodies.remove(id);
-            }
-            keep
-        });
-        let owners = &mut self.owners;
-        self.programs.retain(|_, program| {
-            let keep = program.until > now;
-            if !keep {
-                for request in program.attempts.keys() {
-                    owners.remove(request);
-                    gone.insert(key(Kind::Reserved, request));
-                    gone.insert(key(Kind::Settled, request));
-                }
-            }
-            keep
-        });
-        for key in &gone {
-            if let Some(spot) = self.spots.remove(key)
-                && let Some(live) = self.live.get_mut(&spot.segment)
-            {
-                *live -= 1;
-            }
-        }
-        while self.arrivals.front().is_some_and(|k| !self.has(k)) {
-            self.arrivals.pop_front();
-            self.first += 1;
-        }
-        let empty = self.live.iter().filter(|(_, live)| **live == 0);
-        empty.map(|(segment, _)| *segment).collect()
+    fn reserved(&self, key: RequestKey) -> Option<Record> {
+        let request = &self.requests[key];
+        let (program, keep_ms) = self.owner(request)?;
+        Some(Record::Reserved(Reserved {
+            program,
+            request: request.id.clone(),
+            tokens: request.reserved?,
+            keep_ms,
+        }))
+    }
+
+    fn settled(&self, key: RequestKey) -> Option<Record> {
+        let request = &self.requests[key];
+        let (program, keep_ms) = self.owner(request)?;
+        Some(Record::Settled(Settled {
+            program,
+            request: request.id.clone(),
+            tokens: request.settled?,
+            keep_ms,
+        }))
     }
 
     /// Forgets a segment that was removed from the disk.
@@ -455,13 +454,6 @@
 
     /// Turns and programs that are kept.
     pub fn sizes(&self) -> (usize, usize) {
-        (self.turns.len(), self.programs.len())
-    }
-}
-
-fn turn_key(request: &Id) -> Key {
-    Key {
-        kind: Kind::Turn,
-        request: request.clone(),
+        (self.turns, self.programs.len())
     }
 }
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -18,7 +18,8 @@
 //!
 //! - [`record`]: the records; [`message`]: what processes ask of a replica.
 //! - [`log`]: records on a disk; [`index`]: what follows from them;
-//!   [`body`]: what was said, as far as it is in memory.
+//!   [`body`]: what was said, as far as it is in memory; [`conversation`]: all of
+//!   it up to a turn.
 //! - [`replica`]: the answering side; [`sync`]: replicas bring each other up to
 //!   date.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
@@ -30,6 +31,7 @@
 //! [`gradedyke_journal`]: https://docs.rs/gradedyke-journal
 
 pub mod body;
+pub mod conversation;
 pub mod detour;
 pub mod feed;
 pub mod index;
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -6,7 +6,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::index::{Attempt, Chain, Position};
+use crate::conversation::Chain;
+use crate::index::{Attempt, Position};
 use crate::load::{Busy, Report};
 use crate::mirror::News;
 use crate::record::{Id, Key, Record, Reserved};
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -12,8 +12,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::conversation::Chain;
 use crate::detour::Way;
-use crate::index::{Attempt, Chain};
+use crate::index::Attempt;
 use crate::load::{Busy, Report};
 use crate::membership;
 use crate::message::{self, Begin, Found, Reply, Request};
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -12,7 +12,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
-use crate::index::{self, Answer, Chain, Index, Part, Position};
+use crate::conversation::{Chain, Part};
+use crate::index::{self, Answer, Index, Position};
 use crate::load::{Board, Busy, Report};
 use crate::log::{self, Log, Place};
 use crate::message::{self, Begin, Found, Keys, Reply, Request};
--- a/crates/gradedyke-turns/tests/index.rs
+++ b/crates/gradedyke-turns/tests/index.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use gradedyke_turns::body::Body;
-use gradedyke_turns::index::{Answer, BODIES, Chain, Index};
+use gradedyke_turns::conversation::Chain;
+use gradedyke_turns::index::{Answer, BODIES, Index};
 use gradedyke_turns::log::Place;
 use gradedyke_turns::record::{Id, Key, Kind, Record, Reserved, Settled, Turn};
 use proptest::prelude::*;
@@ -206,3 +207,25 @@
     index.expire(now + Duration::from_millis(2 * u64::from(KEEP_MS)));
     assert_eq!(index.body_bytes(), 0);
 }
+
+#[test]
+fn what_has_expired_may_come_again() {
+    let mut index = Index::new(BODIES);
+    let now = Instant::now();
+    for record in records() {
+        assert!(index.apply(&record, 1, now));
+        assert!(!index.apply(&record, 1, now));
+    }
+    let end = index.end();
+    let later = now + Duration::from_millis(2 * u64::from(KEEP_MS));
+    assert_eq!(index.expire(later), [1]);
+    assert_eq!(index.sizes(), (0, 0));
+    assert!(used(&index).is_empty());
+    assert_eq!(index.arrived(0, 100), (Vec::new(), end));
+    for record in records() {
+        assert!(index.apply(&record, 2, later));
+    }
+    assert_eq!(index.sizes(), (3, 1));
+    assert!(chain(&mut index, "e").is_some());
+    assert_eq!(index.arrived(end, 100).0.len(), 7);
+}
