Replicas say when they start or have too much to do; fetch each record once

(2) A newcomer fetched each record from all the others at once and wrote it as often: 93,009 records on a disk where others had 39,000, to be read again at the next start.

Change: a replica that reads its disk says so after 0.1 s and is asked again; one with 192 attempts being begun, or 768 other requests, says that it is busy; one fetch at a time; a neighbour that reached a slow keeper is the last one asked.

--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -165,7 +165,10 @@
             Err(match error {
                 quorum::Refusal::NoTurn => Refusal::NoTurn,
                 quorum::Refusal::Spent { .. } => Refusal::Spent,
-                quorum::Refusal::Unsure | quorum::Refusal::NoQuorum { .. } => Refusal::NoKeepers,
+                quorum::Refusal::Unsure
+                | quorum::Refusal::Starting
+                | quorum::Refusal::Busy
+                | quorum::Refusal::NoQuorum { .. } => Refusal::NoKeepers,
             })
         }
     }
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -24,6 +24,9 @@
 /// Longest time for a request that is passed on. The neighbour may be cut off
 /// too, and another is better than waiting.
 const CALL: Duration = Duration::from_millis(250);
+/// Time in it that the neighbour gives the keeper, so that it can still say that
+/// the keeper is slow.
+const PASSED: Duration = Duration::from_millis(200);
 
 /// Neighbours that are tried for one request, one after the other.
 const DETOURS: usize = 3;
@@ -51,8 +54,9 @@
             return Reply::Failed("the address is no keeper's; renew the view".to_owned());
         }
         metrics::counter!("gradedyke_forwarded_total").increment(1);
-        match self.quorum.client(to).call(body, CALL).await {
+        match self.quorum.client(to).call(body, PASSED).await {
             Ok(reply) => Reply::Via(reply),
+            Err(gradedyke_peer::Error::TimedOut(..)) => Reply::Busy,
             Err(error) => Reply::Failed(error.to_string()),
         }
     }
@@ -69,16 +73,28 @@
     }
 }
 
+/// What a detour brought.
+enum Passed {
+    /// The keeper's reply.
+    Reply(Bytes),
+    /// The keeper was reached, and did not answer in time.
+    Slow,
+    /// This neighbour is no way.
+    No,
+}
+
 /// Asks the keeper at `to` through the entry that `neighbour` reaches.
-async fn ask(neighbour: &Client, to: SocketAddr, body: Bytes) -> Option<Bytes> {
+async fn ask(neighbour: &Client, to: SocketAddr, body: Bytes) -> Passed {
     let via = message::encode(&Request::Via { to, body });
     let reply = neighbour.call(via, CALL).await;
     let reply = reply.inspect_err(|error| {
         tracing::debug!(event = "detour_failed", keeper = %to, %error);
     });
-    match message::decode(&reply.ok()?)? {
-        Reply::Via(reply) => Some(reply),
-        _ => None,
+    let reply = reply.ok().and_then(|r| message::decode(&r));
+    match reply {
+        Some(Reply::Via(reply)) => Passed::Reply(reply),
+        Some(Reply::Busy) => Passed::Slow,
+        _ => Passed::No,
     }
 }
 
@@ -171,10 +187,14 @@
             return None;
         }
         for neighbour in &self.detours {
-            let reply = ask(neighbour, self.keeper, body.clone()).await;
-            if reply.is_some() {
-                self.note(neighbour.address());
-                return reply;
+            match ask(neighbour, self.keeper, body.clone()).await {
+                Passed::Reply(reply) => {
+                    self.note(neighbour.address());
+                    return Some(reply);
+                }
+                // Another way to it would only give it more to do.
+                Passed::Slow => return None,
+                Passed::No => {}
             }
         }
         None
--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -159,6 +159,13 @@
         self.find(&key.request).is_some_and(|r| r.has(key.kind))
     }
 
+    /// Whether a record with `key` is on disk here.
+    pub fn stored(&self, key: &Key) -> bool {
+        let spot = self.find(&key.request);
+        let spot = spot.and_then(|r| r.spots[key.kind as usize]);
+        spot.is_some_and(|s| s.place.is_some())
+    }
+
     fn find(&self, id: &Id) -> Option<&Request> {
         self.requests.get(*self.names.get(id)?)
     }
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -136,6 +136,10 @@
     Stale(View),
     /// The replica cannot serve this.
     Failed(String),
+    /// The replica reads its disk still.
+    Starting,
+    /// The replica has more to do than it can do in time; nothing was done.
+    Busy,
 }
 
 /// Encodes a message.
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -53,6 +53,12 @@
         /// Tokens asked for.
         asked: u32,
     },
+    /// Too few replicas answer, and some of them read their disks still.
+    #[error("replicas read their disks still; come back soon")]
+    Starting,
+    /// Too few replicas answer, and some of them have too much to do.
+    #[error("replicas have more to do than they can; come back soon")]
+    Busy,
     /// No majority of replicas answers.
     #[error("{answered} of {needed} replicas answered; see whether they run")]
     NoQuorum {
@@ -240,16 +246,23 @@
     ///
     /// A [`Refusal`]; the reservation may stand, so it is to be settled.
     pub async fn begin(&self, ask: &Ask) -> Result<Begun, Refusal> {
+        let soon = ask.until.min(Instant::now() + ask.time);
         loop {
             let view = self.view();
             let Some(result) = self.begin_under(&view, ask).await else {
                 continue;
             };
-            let missed = matches!(result, Err(Refusal::NoQuorum { .. }));
+            let starting = matches!(result, Err(Refusal::Starting));
+            let missed = starting || matches!(result, Err(Refusal::NoQuorum { .. }));
             let now = Instant::now();
+            if matches!(result, Err(Refusal::Busy)) && now + AGAIN < soon {
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            }
             // Keepers that are there but slow are not asked again: that would make
             // them slower.
-            let again = missed && !self.reachable() && self.lately_lost(now);
+            let away = starting || !self.reachable();
+            let again = missed && away && self.lately_lost(now);
             if again && now + AGAIN < ask.until {
                 tokio::time::sleep(AGAIN).await;
                 continue;
@@ -324,6 +337,12 @@
         asked: usize,
     ) -> Result<Begun, Refusal> {
         let (answered, needed) = (gathered.answered, gathered.needed);
+        if !gathered.has_quorum() && gathered.starting {
+            return Err(Refusal::Starting);
+        }
+        if !gathered.has_quorum() && gathered.busy {
+            return Err(Refusal::Busy);
+        }
         if !gathered.has_quorum() {
             return Err(Refusal::NoQuorum { answered, needed });
         }
@@ -420,6 +439,10 @@
     chain: Option<Chain>,
     holder: Option<Member>,
     missing: usize,
+    /// Whether one reads its disk still.
+    starting: bool,
+    /// Whether one has too much to do.
+    busy: bool,
     load: Option<Vec<Busy>>,
 }
 
@@ -436,6 +459,8 @@
             chain: None,
             holder: None,
             missing: 0,
+            starting: false,
+            busy: false,
             load: None,
         }
     }
@@ -470,6 +495,8 @@
                 self.found(member, parent);
             }
             Some(Reply::Kept) => self.count(member),
+            Some(Reply::Starting) => self.starting = true,
+            Some(Reply::Busy) => self.busy = true,
             Some(Reply::Failed(error)) => {
                 tracing::warn!(event = "replica_failed", replica = member.name, %error);
             }
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -1,6 +1,7 @@
 //! The answering side: keeps records, tells conversations and news.
 
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -30,6 +31,9 @@
 /// would be a call of its own from each other replica. A third of what these wait
 /// before they ask for a record that they miss.
 const GATHER: Duration = Duration::from_millis(50);
+/// Time after which a replica that reads its disk still says so: a third of what
+/// an entry gives replicas that are there.
+const STARTING: Duration = Duration::from_millis(100);
 /// Longest wait for news, whatever is asked for.
 const NEWS_WAIT: Duration = Duration::from_secs(5);
 /// How often expired records are looked for.
@@ -49,6 +53,8 @@
     /// How far each other replica has followed.
     followed: Mutex<std::collections::HashMap<Disk, Position>>,
     board: Mutex<Board>,
+    /// Held by whoever fetches records from another replica.
+    fetching: tokio::sync::Mutex<()>,
     mirror: Arc<Mirror>,
     stop: CancellationToken,
 }
@@ -126,6 +132,7 @@
             view: watch::Sender::new(View::default()),
             followed: Mutex::default(),
             board: Mutex::default(),
+            fetching: tokio::sync::Mutex::default(),
             mirror,
             stop,
         }))
@@ -161,6 +168,12 @@
         });
     }
 
+    /// Waits for the turn to fetch records. Others have much the same to tell, so
+    /// that at the same time each record would be fetched from all of them.
+    pub(crate) async fn fetching(&self) -> tokio::sync::MutexGuard<'_, ()> {
+        self.fetching.lock().await
+    }
+
     /// Whether another replica has followed all that arrived up to `position`.
     pub(crate) fn followed(&self, disk: Disk, position: Position) -> bool {
         let followed = self.followed.lock();
@@ -373,17 +386,58 @@
     }
 }
 
+/// Attempts that are begun at a time. The slowest replica in use (0.17 of a core)
+/// takes about 1 ms for one, and whoever asks waits 300 ms: more would be done in
+/// vain, and hold memory meanwhile.
+const BEGINS: usize = 192;
+/// The same of all other requests for records. They end work that has been done,
+/// and are waited for longer (2 s), so they have room when no more is begun.
+const OTHERS: usize = 768;
+
+/// Counts a request as being answered until it is dropped.
+struct Active<'a>(&'a AtomicUsize);
+
+impl<'a> Active<'a> {
+    /// Counts one, unless `most` are being answered already.
+    fn take(count: &'a AtomicUsize, most: usize) -> Option<Self> {
+        let taken = count.fetch_add(1, Ordering::Relaxed);
+        let active = Self(count);
+        (taken < most).then_some(active)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// What answers other processes. News are told from the first moment on; what
 /// concerns records waits until the replica has read its disk.
 pub struct Desk {
     mirror: Arc<Mirror>,
     replica: watch::Receiver<Option<Arc<Replica>>>,
+    begins: AtomicUsize,
+    others: AtomicUsize,
 }
 
 impl Desk {
     /// A desk that tells what is in `mirror`, and asks `replica` once it is there.
     pub fn new(mirror: Arc<Mirror>, replica: watch::Receiver<Option<Arc<Replica>>>) -> Self {
-        Self { mirror, replica }
+        Self {
+            mirror,
+            replica,
+            begins: AtomicUsize::new(0),
+            others: AtomicUsize::new(0),
+        }
+    }
+
+    /// Lets a request in, if there is room for it.
+    fn admit(&self, request: &Request) -> Option<Active<'_>> {
+        match request {
+            Request::Begin(_) => Active::take(&self.begins, BEGINS),
+            _ => Active::take(&self.others, OTHERS),
+        }
     }
 
     async fn answer(&self, request: Request) -> Reply {
@@ -404,9 +458,17 @@
             let age = self.mirror.age(Instant::now());
             return Reply::Age(age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)));
         }
+        let Some(_active) = self.admit(&request) else {
+            metrics::counter!("gradedyke_busy_total").increment(1);
+            return Reply::Busy;
+        };
         let mut replica = self.replica.clone();
-        let ready = replica.wait_for(Option::is_some).await;
-        match ready.ok().and_then(|r| r.clone()) {
+        let ready = replica.wait_for(Option::is_some);
+        let Ok(ready) = tokio::time::timeout(STARTING, ready).await else {
+            return Reply::Starting;
+        };
+        let ready = ready.ok().and_then(|r| r.clone());
+        match ready {
             Some(replica) => replica.answer(request).await,
             None => Reply::Failed("the replica did not start; see its log".to_owned()),
         }
--- a/crates/gradedyke-turns/src/sync.rs
+++ b/crates/gradedyke-turns/src/sync.rs
@@ -141,6 +141,12 @@
             tokio::time::sleep(SPARE).await;
             missing = self.missing(&missing);
         }
+        if missing.is_empty() {
+            return Some(keys);
+        }
+        let _turn = self.replica.fetching().await;
+        // Some were fetched from another meanwhile.
+        let missing = self.missing(&missing);
         for part in missing.chunks(RECORDS) {
             self.fetch(part.to_vec()).await?;
         }
@@ -149,7 +155,7 @@
 
     fn missing(&self, keys: &[Key]) -> Vec<Key> {
         let index = self.replica.index();
-        keys.iter().filter(|k| !index.has(k)).cloned().collect()
+        keys.iter().filter(|k| !index.stored(k)).cloned().collect()
     }
 
     /// Whether this replica takes part.
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -2,18 +2,24 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use gradedyke_peer::{Client, Handler};
 use gradedyke_turns::detour::{Forwarder, Way};
 use gradedyke_turns::load::{Busy, Report};
+use gradedyke_turns::log::Log;
 use gradedyke_turns::membership;
-use gradedyke_turns::message::{self, Reply, Request};
+use gradedyke_turns::message::{self, Begin, Reply, Request};
 use gradedyke_turns::mirror::{Item, Mirror};
 use gradedyke_turns::quorum::{Ask, Quorum, Refusal};
 use gradedyke_turns::record::{Id, Record, Reserved, Settled, Turn};
 use gradedyke_turns::replica::{Desk, Replica};
+use gradedyke_turns::sync::{Follower, Progress};
 use gradedyke_turns::view::{self, Member, View};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -411,3 +417,163 @@
         assert_eq!(waited > Duration::ZERO, waits, "{count}");
     }
 }
+
+#[tokio::test]
+async fn an_attempt_waits_for_replicas_that_read_their_disks() {
+    let mut group = Group::start(3).await;
+    group.keep("a", None).await.unwrap();
+    let mut opened = Vec::new();
+    // All three come back at once, and none has read its disk yet.
+    for node in &mut group.nodes {
+        node.stop.cancel();
+        let (open, replica) = watch::channel(None);
+        let desk = Arc::new(Desk::new(Mirror::new(&[""]), replica));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        node.member.address = listener.local_addr().unwrap();
+        let stop = CancellationToken::new();
+        let serving = gradedyke_peer::server::serve(listener, desk.clone(), stop);
+        group.tasks.spawn(serving);
+        opened.push((open, desk, node.replica.clone()));
+    }
+    group.publish(2);
+    let hello = message::encode(&Request::Hello);
+    let reading = async {
+        for (open, desk, replica) in opened {
+            let reply = desk.handle(hello.clone());
+            let reply = tokio::time::timeout(Duration::from_secs(5), reply).await;
+            let reply = reply.expect("a replica that starts says nothing");
+            assert!(matches!(message::decode(&reply), Some(Reply::Starting)));
+            open.send_replace(Some(replica));
+        }
+    };
+    let (chain, ()) = tokio::join!(group.chain("a"), reading);
+    assert_eq!(chain.unwrap().unwrap(), "a?a!");
+}
+
+#[tokio::test]
+async fn a_newcomer_fetches_each_record_once() {
+    let mut group = Group::start(2).await;
+    for n in 0..40 {
+        group.keep(&format!("t{n}"), None).await.unwrap();
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().to_owned();
+    let mut newcomer = Node::start(folder, "n2", &mut group.tasks).await;
+    newcomer.member.active = false;
+    let replica = newcomer.replica.clone();
+    group.nodes.push(newcomer);
+    group.publish(2);
+    let stop = CancellationToken::new();
+    for node in &group.nodes[..2] {
+        let (sender, mut progress) = watch::channel(Progress::default());
+        let (disk, address) = (node.member.disk, node.member.address);
+        let follower = Follower::new(replica.clone(), disk, address, sender);
+        group.tasks.spawn(follower.run(stop.clone()));
+        let level = progress.wait_for(|p| p.level.is_some());
+        let level = tokio::time::timeout(Duration::from_secs(10), level).await;
+        assert!(level.is_ok(), "it does not become level");
+    }
+    stop.cancel();
+    group.tasks.shutdown().await;
+    let mut written = 0;
+    Log::open(&path, |_, _| written += 1).unwrap();
+    assert_eq!(written, 40);
+}
+
+#[tokio::test]
+async fn a_replica_with_too_much_to_do_begins_nothing_more_and_ends_what_was_begun() {
+    let group = Group::start(1).await;
+    let (_, ready) = watch::channel(Some(group.nodes[0].replica.clone()));
+    let desk = Desk::new(Mirror::new(&[""]), ready);
+    let begin = |n: usize| {
+        message::encode(&Request::Begin(Begin {
+            view: 1,
+            reserve: Some(Reserved {
+                program: id("p"),
+                request: id(&format!("r{n}")),
+                tokens: 1,
+                keep_ms: 60_000,
+            }),
+            parent: None,
+            nearest: false,
+            load: Report::default(),
+        }))
+    };
+    let count = 1_000;
+    let mut begins: FuturesUnordered<_> = (0..count).map(|n| desk.handle(begin(n))).collect();
+    // All have come before any is written.
+    let first = begins.next().await.unwrap();
+    let settled = message::encode(&Request::Keep {
+        view: 1,
+        record: Record::Settled(Settled {
+            program: id("p"),
+            request: id("r0"),
+            tokens: 1,
+            keep_ms: 60_000,
+        }),
+    });
+    let kept = desk.handle(settled).await;
+    assert!(matches!(message::decode(&kept), Some(Reply::Kept)));
+    let mut replies: Vec<Bytes> = begins.collect().await;
+    replies.push(first);
+    let busy = replies
+        .iter()
+        .filter(|r| matches!(message::decode(r), Some(Reply::Busy)));
+    let busy = busy.count();
+    assert!(busy > count / 2, "{busy} of {count}");
+    // There is room again.
+    let reply = desk.handle(begin(count)).await;
+    assert!(matches!(message::decode(&reply), Some(Reply::Began { .. })));
+}
+
+#[tokio::test]
+async fn a_keeper_that_is_slow_is_not_asked_by_one_detour_after_the_other() {
+    let mut group = Group::start(3).await;
+    // The first keeper is there, and never answers.
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let slow = silent.local_addr().unwrap();
+    group.nodes[0].member.address = slow;
+    group.publish(2);
+    let stop = CancellationToken::new();
+    let asked = Arc::new(AtomicUsize::new(0));
+    let mut detours = Vec::new();
+    for _ in 0..3 {
+        let neighbour = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        detours.push(Client::new(neighbour.local_addr().unwrap()));
+        let handler = Arc::new(Counting {
+            forwarder: Forwarder::new(group.quorum.clone()),
+            asked: asked.clone(),
+        });
+        let serving = gradedyke_peer::server::serve(neighbour, handler, stop.clone());
+        group.tasks.spawn(serving);
+    }
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nowhere = closed.local_addr().unwrap();
+    drop(closed);
+    let all = vec![Client::new(nowhere); 3];
+    let way = Way::new(
+        slow,
+        Client::new(nowhere),
+        detours,
+        (all, 2),
+        Arc::default(),
+    );
+    let hello = message::encode(&Request::Hello);
+    let reply = way.call(hello, Duration::from_secs(5)).await;
+    assert_eq!(reply, None);
+    assert_eq!(asked.load(Ordering::Relaxed), 1);
+}
+
+/// A forwarder that counts what it is asked.
+struct Counting {
+    forwarder: Forwarder,
+    asked: Arc<AtomicUsize>,
+}
+
+#[async_trait]
+impl Handler for Counting {
+    async fn handle(&self, request: Bytes) -> Bytes {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        self.forwarder.handle(request).await
+    }
+}
