Send a prompt where its beginning was read

Cause: only turns of kept conversations knew their engine. Four in five programs of the new customer keep no turns, so each of their turns went to whichever engine was least busy: of 174 turns that followed another one in a calm stretch, 74 left the engine that had read their conversation, and the engines' time for reading is what bursts exhaust (59 in 100 of it at the peak). The holder's part was overestimated too: a byte was taken for a token.

Change: each entry remembers the parts of prompts that it sent to each engine, as far as the engine's memory reaches, and what was answered behind them. Placement weighs the tokens that are left to read.

Ruled out: asking the engines (late, priced). Not yet done: an entry that sees a line of turns for the first time knows only what the keepers tell (33 of 230 turns of kept conversations, 25 of 174 of others, come to another entry).

--- a/crates/gradedyke-gateway/src/dialect.rs
+++ b/crates/gradedyke-gateway/src/dialect.rs
@@ -11,6 +11,7 @@
 
 use crate::config::Config;
 use crate::fleet::Server;
+use crate::prefix::Part;
 
 /// What a caller says of its request besides method, path and body.
 #[derive(Clone, Debug, Default)]
@@ -34,6 +35,8 @@
     /// The object the request concerns: a server that has lately seen it is
     /// faster.
     pub object: Option<Id>,
+    /// The parts of its prompt, in order; those shared by many come first.
+    pub parts: Vec<Part>,
 }
 
 /// Sizes of a model call, in tokens.
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -260,6 +260,9 @@
     tracing::info!(event = "placed", request = %call.id, attempt = steps.tried.len(),
         server = choice.as_ref().map_or("none", |c| c.id.as_str()),
         holder = question.holder.map_or("none", Id::as_str),
+        prompt = question.prompt_tokens,
+        unread = choice.as_ref().map(|c| c.view.unread_tokens),
+        in_flight = choice.as_ref().map(|c| c.view.in_flight),
         route = call.route.name, config = call.config.version,
         directory_age_ms = age.map(|a| a.as_millis()),
         left_ms = call.left(now).as_millis());
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -78,6 +78,7 @@
         output: BytesMut::new(),
         tokens: 0,
         event_tokens: 0,
+        events: None,
     };
     let (incoming, link, answer) = (
         answered.response.into_body(),
@@ -187,6 +188,13 @@
     Some((reserved, budget))
 }
 
+/// Tokens of the prompt that were said before: its share in bytes.
+fn held_tokens(call: &Call, chain: &Chain) -> u64 {
+    let prompt = call.meta.usage.map_or(0, |u| u.prompt);
+    let (before, new) = (chain.body.len() as u64, call.body.len() as u64);
+    (prompt * before).checked_div(before + new).unwrap_or(0)
+}
+
 /// What the fleet is asked for a server for the request.
 fn question<'a>(call: &'a Call, chain: Option<&'a Chain>) -> Question<'a> {
     Question {
@@ -195,8 +203,8 @@
         tried: &[],
         holder: chain.map(|c| &c.server),
         prompt_tokens: call.meta.usage.map_or(0, |u| u.prompt),
-        // A byte is a token or less, so this is not too much by far.
-        held_tokens: chain.map_or(0, |c| c.body.len() as u64),
+        held_tokens: chain.map_or(0, |c| held_tokens(call, c)),
+        parts: &call.meta.parts,
         object: call.meta.object.as_ref(),
         engine: true,
         room: call.engine().map_or(0, |e| e.cache_tokens),
@@ -216,6 +224,8 @@
     /// Tokens that were passed on, at most.
     tokens: u32,
     event_tokens: u32,
+    /// When its first event and its last one so far came.
+    events: Option<(Instant, Instant)>,
 }
 
 /// How a stream ended.
@@ -249,10 +259,14 @@
         let now = Instant::now();
         tracing::info!(event = "stream_ended", request = %self.call.id, end = name, cause,
             server = %self.choice.id, status = status.as_u16(), tokens = self.tokens,
+            first_ms = self.first().map(|t| t.as_millis()),
+            events_ms = self.spread().map(|t| t.as_millis()),
             ms = (now - self.call.arrived).as_millis());
         metrics::counter!("gradedyke_streams_total", "end" => name).increment(1);
         match end {
             End::Whole => {
+                let (parts, made) = (&self.call.meta.parts, u64::from(self.tokens));
+                self.entry.fleet.made(self.choice.key, parts, made);
                 if !status.is_success() {
                     // A server's own failure is no turn and gave no tokens.
                     self.ledger.settle(&self.entry, 0);
@@ -289,7 +303,7 @@
                 return End::Broken(error.to_string());
             }
             while let Some(event) = events.next_event() {
-                self.note(&event);
+                self.note(&event, Instant::now());
                 if !self.pass(event).await {
                     return End::CallerLeft;
                 }
@@ -318,8 +332,20 @@
         End::CallerLeft
     }
 
+    /// Time from the choice of the server to the first event.
+    fn first(&self) -> Option<Duration> {
+        self.events.map(|(first, _)| first - self.choice.since)
+    }
+
+    /// Time from the first event to the last.
+    fn spread(&self) -> Option<Duration> {
+        self.events.map(|(first, last)| last - first)
+    }
+
     /// Takes an event into the turn.
-    fn note(&mut self, event: &Bytes) {
+    fn note(&mut self, event: &Bytes, now: Instant) {
+        let first = self.events.map_or(now, |(first, _)| first);
+        self.events = Some((first, now));
         if let Some(data) = self.entry.dialect.event_data(event) {
             self.output.extend_from_slice(data);
             self.output.extend_from_slice(b"\n");
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::health::{Counts, Fault, Health, Told};
 use crate::link::Pool;
 use crate::placement::{Candidate, Policy};
+use crate::prefix::{Cache, Part};
 
 new_key_type! {
     /// A backend server in the fleet.
@@ -83,6 +84,8 @@
     /// Average time to the head of an answer, in milliseconds.
     time_ms: Option<f64>,
     seen: HashMap<Id, Instant>,
+    /// What it holds of prompts, if it is an engine.
+    cache: Cache,
     /// Another server has its address; its item only has not vanished yet.
     replaced: bool,
 }
@@ -102,7 +105,9 @@
     pub prompt_tokens: u64,
     /// Tokens of the prompt that the holder need not read.
     pub held_tokens: u64,
-    /// The object, or the shared start of the prompt.
+    /// The parts of the prompt, as far as they are named.
+    pub parts: &'a [Part],
+    /// The object.
     pub object: Option<&'a Id>,
     /// Whether the service runs models.
     pub engine: bool,
@@ -123,6 +128,10 @@
     pub id: Id,
     /// Connections to it.
     pub pool: Arc<Pool>,
+    /// When it was chosen.
+    pub since: Instant,
+    /// What was known of it then.
+    pub view: Candidate,
     tokens: u64,
 }
 
@@ -226,18 +235,23 @@
             .iter()
             .map(|key| self.candidate(&servers.servers[*key], question, usual))
             .collect();
-        let key = keys[self.policy.choose(&candidates)?];
+        let place = self.policy.choose(&candidates)?;
+        let (key, view) = (keys[place], candidates[place]);
         let known = servers.servers.get_mut(key)?;
         known.in_flight += 1;
         known.tokens += question.prompt_tokens;
         if let Some(object) = question.object {
             known.see(object, question.now);
         }
+        let room = known.own_share(question.now) * question.room as f64;
+        known.cache.keep(question.parts, 0, room as u64);
         Some(Choice {
             fleet: self.clone(),
             key,
             id: known.server.id.clone(),
             pool: known.pool.clone(),
+            since: question.now,
+            view,
             tokens: question.prompt_tokens,
         })
     }
@@ -278,10 +292,11 @@
     fn candidate(&self, known: &Known, question: &Question<'_>, usual: Option<f64>) -> Candidate {
         let holds = question.holder == Some(&known.server.id);
         let familiar = question.object.is_some_and(|o| known.seen.contains_key(o));
-        let unread = if holds {
-            question.prompt_tokens.saturating_sub(question.held_tokens)
-        } else {
-            question.prompt_tokens
+        let held = if holds { question.held_tokens } else { 0 };
+        let unread = question.prompt_tokens.saturating_sub(held);
+        let unread = match question.parts {
+            [] => unread,
+            parts => unread.min(known.cache.unread(parts)),
         };
         let slowness = match (known.time_ms, usual) {
             (Some(time), Some(usual)) if usual > 0.0 => time / usual,
@@ -305,6 +320,13 @@
         }
     }
 
+    /// Takes in that an engine made `tokens` after a prompt of these parts.
+    pub fn made(&self, key: Key, parts: &[Part], tokens: u64) {
+        if let Some(known) = self.lock().servers.get_mut(key) {
+            known.cache.grow(parts, tokens);
+        }
+    }
+
     /// Takes in that a server answered, `time` after the request was sent.
     pub fn answered(&self, key: Key, time: Duration, now: Instant) {
         if let Some(known) = self.lock().servers.get_mut(key) {
@@ -364,6 +386,13 @@
         self.seen.insert(object.clone(), now);
     }
 
+    /// This entry's share of the requests that the server ran lately, 0 to 1: what
+    /// others send fills its memory unseen.
+    fn own_share(&self, now: Instant) -> f64 {
+        let own = f64::from(self.health.told(now).counts.requests + 1);
+        own / (own + f64::from(self.others.ended))
+    }
+
     /// What other entries told of its failures.
     fn told(&self) -> Told {
         Told {
@@ -419,6 +448,7 @@
             cold_until: learned + server.cold,
             time_ms: None,
             seen: HashMap::new(),
+            cache: Cache::default(),
             replaced: false,
             server,
         });
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`config`]: routes and services as the operator sets them.
 //! - [`settings`]: settings of one process.
 //! - [`fleet`]: the backend servers; [`health`]: what is learned of one of them;
-//!   [`placement`]: which of them runs a request.
+//!   [`prefix`]: what it holds of prompts; [`placement`]: which of them runs a
+//!   request.
 //! - [`link`]: connections to backend servers.
 //! - [`event`]: events within a stream.
 //! - [`entry`]: requests from their head to their last byte.
@@ -29,5 +30,6 @@
 pub mod link;
 pub mod meter;
 pub mod placement;
+pub mod prefix;
 pub mod process;
 pub mod settings;
