Name policy and mechanisms of the decisions in the settings

So that what each mechanism is worth is measured by a change of settings, in the same program. decisions.placement names the policy, decisions.off the mechanisms that are switched off; both are checked, with the names there are, and logged at start. All are on where nothing is said, so nothing changes there.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -23,6 +23,7 @@
 use crate::fleet::{Choice, Key, Question};
 use crate::health::Fault;
 use crate::link::{self, Link};
+use crate::mechanism::Mechanism;
 
 /// Least time left with which a request is sent: below it a server could not
 /// even take it in.
@@ -149,7 +150,7 @@
     let outbound = Outbound {
         server: &choice.id,
         left,
-        urgency: call.engine().map(|_| call.route.priority),
+        urgency: urgency(entry, call),
     };
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = call.method.clone();
@@ -171,6 +172,12 @@
     judge(entry, call, choice, link, response, now)
 }
 
+/// The rank that an engine is told.
+fn urgency(entry: &Entry, call: &Call) -> Option<u8> {
+    let ranked = call.engine().is_some() && entry.enabled.has(Mechanism::Urgency);
+    ranked.then_some(call.route.priority)
+}
+
 /// Waits for the head of an answer until the call's time is over. When a plain
 /// service takes far longer than usual, it is taken for one that may not answer at
 /// all, long before that shows. An engine that is slow reads prompts, and moving
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -28,6 +28,7 @@
 use crate::config::{Config, Kind, Route};
 use crate::dialect::{Dialect, Meta};
 use crate::fleet::Fleet;
+use crate::mechanism::Enabled;
 use call::Call;
 use refusal::Refusal;
 
@@ -51,6 +52,8 @@
     pub fleet: Arc<Fleet>,
     /// The keepers.
     pub quorum: Arc<Quorum>,
+    /// The mechanisms that are on.
+    pub enabled: Enabled,
     /// Cancelled when the process begins to stop.
     pub drain: CancellationToken,
     /// The revision of the configuration that was read last.
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -21,6 +21,7 @@
 use crate::config::Kind;
 use crate::fleet::Question;
 use crate::health::Fault;
+use crate::mechanism::Mechanism;
 
 /// Largest answer that is read, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
@@ -35,7 +36,7 @@
 pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Served {
     let trail = Arc::new(Trail::default());
     let late = call.late(Instant::now());
-    let again = call.route.kind == Kind::Idempotent;
+    let again = call.route.kind == Kind::Idempotent && entry.enabled.has(Mechanism::SentBeside);
     let mut first = Box::pin(run(entry.clone(), call.clone(), trail.clone()));
     if !again || late >= call.until {
         return first.await;
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::estimate::{self, Stream, Times};
 use crate::health::{Counts, Fault, Health, Told};
 use crate::link::Pool;
+use crate::mechanism::{Enabled, Mechanism};
 use crate::placement::{Candidate, Policy};
 use crate::prefix::{Cache, Part};
 
@@ -160,6 +161,7 @@
 pub struct Fleet {
     data_centre: String,
     policy: Arc<dyn Policy>,
+    enabled: Enabled,
     /// Tells this entry's reports from those of others.
     boot: u64,
     /// Where this entry passes requests of others on.
@@ -170,10 +172,16 @@
 impl Fleet {
     /// An empty fleet as seen from a data centre, by the entry that passes
     /// requests of others on at `own`.
-    pub fn new(data_centre: &str, own: Option<SocketAddr>, policy: Arc<dyn Policy>) -> Arc<Self> {
+    pub fn new(
+        data_centre: &str,
+        own: Option<SocketAddr>,
+        policy: Arc<dyn Policy>,
+        enabled: Enabled,
+    ) -> Arc<Self> {
         Arc::new(Self {
             data_centre: data_centre.to_owned(),
             policy,
+            enabled,
             boot: rand::random(),
             own,
             servers: Mutex::default(),
@@ -229,12 +237,13 @@
     /// Chooses a server and counts the request as in progress there.
     pub fn choose(self: &Arc<Self>, question: &Question<'_>) -> Option<Choice> {
         let mut servers = self.lock();
-        let keys = servers.able(question);
+        let keys = servers.able(question, self.enabled.has(Mechanism::Rests));
         if servers.told.is_some_and(|at| question.now - at > TOLD) {
             servers.forget_others();
         }
-        let learned = servers.learned.get(question.service);
-        let times = learned.copied().unwrap_or_default().times(question.engine);
+        let learned = servers.learned.get(question.service).copied();
+        let learned = learned.filter(|_| self.enabled.has(Mechanism::LearnedTimes));
+        let times = learned.unwrap_or_default().times(question.engine);
         let candidates: Vec<Candidate> = keys
             .iter()
             .map(|key| self.candidate(&servers.servers[*key], question, times))
@@ -248,7 +257,9 @@
             known.see(object, question.now);
         }
         let room = known.own_share(question.now) * question.room as f64;
-        known.cache.keep(question.parts, 0, room as u64);
+        if self.enabled.has(Mechanism::Prefixes) {
+            known.cache.keep(question.parts, 0, room as u64);
+        }
         Some(Choice {
             fleet: self.clone(),
             key,
@@ -284,6 +295,9 @@
 
     /// Takes in what other entries have in progress.
     pub fn learn(&self, load: &[Busy], now: Instant) {
+        if !self.enabled.has(Mechanism::SharedLoad) {
+            return;
+        }
         let mut servers = self.lock();
         servers.told = Some(now);
         let told: HashMap<load::Server, Busy> = load.iter().map(|b| (b.server, *b)).collect();
@@ -343,7 +357,9 @@
         let Some(known) = servers.servers.get_mut(key) else {
             return;
         };
-        known.cache.grow(parts, tokens);
+        if self.enabled.has(Mechanism::Prefixes) {
+            known.cache.grow(parts, tokens);
+        }
         let service = known.server.service.clone();
         let learned = servers.learned.entry(service).or_default();
         if let Some(ratio) = learned.stream(stream) {
@@ -500,14 +516,14 @@
     }
 
     /// The servers that may run the request: of the best kind there are.
-    fn able(&self, question: &Question<'_>) -> Vec<Key> {
+    fn able(&self, question: &Question<'_>, rests: bool) -> Vec<Key> {
         let Some(keys) = self.by_service.get(question.service) else {
             return Vec::new();
         };
         let rank = |key: &Key| {
             let known = &self.servers[*key];
             let vanished = known.state != State::Listed;
-            (vanished, known.resting(question.now))
+            (vanished, rests && known.resting(question.now))
         };
         let open = |key: &&Key| {
             let known = &self.servers[**key];
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`fleet`]: the backend servers; [`health`]: what is learned of one of them;
 //!   [`prefix`]: what it holds of prompts; [`estimate`]: usual times;
 //!   [`placement`]: which of them runs a request.
+//! - [`mechanism`]: what of all this can be switched off, to measure its worth.
 //! - [`link`]: connections to backend servers.
 //! - [`event`]: events within a stream.
 //! - [`entry`]: requests from their head to their last byte.
@@ -29,6 +30,7 @@
 pub mod fleet;
 pub mod health;
 pub mod link;
+pub mod mechanism;
 pub mod meter;
 pub mod placement;
 pub mod prefix;
--- a/crates/gradedyke-gateway/src/placement/cost.rs
+++ b/crates/gradedyke-gateway/src/placement/cost.rs
@@ -11,10 +11,15 @@
 use std::sync::Arc;
 
 use super::{Candidate, Plugin, Policy};
+use crate::mechanism::{Enabled, Mechanism};
 
 /// Weighs what a request waits against what it costs others, what may fail there,
 /// and the way.
-pub struct Cost;
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// The mechanisms that are on.
+    pub enabled: Enabled,
+}
 
 /// What a request beside this one at a plain service costs while places are free,
 /// as a share of the usual time there: what is known of other entries' calls is
@@ -66,38 +71,57 @@
     }
 
     /// The delay by the work there, for this request and for those beside it.
-    fn work(candidate: &Candidate) -> f64 {
+    fn work(self, candidate: &Candidate) -> f64 {
         let times = &candidate.times;
         let taken = f64::from(candidate.in_flight);
         let slots = f64::from(candidate.slots.max(1));
         let running = taken.min(slots - 1.0);
         let ahead = (taken + 1.0 - slots).max(0.0);
         let wait = ahead * (times.answer_ms + running * times.beside_ms) / slots;
-        if !candidate.engine {
-            return times.answer_ms + wait + taken * BESIDE * times.answer_ms;
+        let wait = self.enabled.weigh(Mechanism::Waiting, wait);
+        if candidate.engine {
+            return times.answer_ms + wait + self.reading(candidate, running);
         }
+        let beside = taken * BESIDE * times.answer_ms;
+        times.answer_ms + wait + self.enabled.weigh(Mechanism::Beside, beside)
+    }
+
+    /// The delay at an engine by the reading of prompts: its own, those of the
+    /// `running` others, and what these are delayed by.
+    fn reading(self, candidate: &Candidate, running: f64) -> f64 {
+        let times = &candidate.times;
         let read = candidate.unread_tokens as f64 * times.read_ms;
         let room = FULL * candidate.room as f64;
         let full = candidate.room > 0 && candidate.tokens as f64 > room;
         // Where memory is full, a prompt of usual length is read again.
         let again = if full { times.answer_ms } else { 0.0 };
-        let beside = running * (STAYS * times.beside_ms + read);
-        times.answer_ms + wait + read + again + beside
+        let beside = running * STAYS * times.beside_ms;
+        let weigh = |mechanism, value| self.enabled.weigh(mechanism, value);
+        weigh(Mechanism::Reading, read)
+            + weigh(Mechanism::ReadingForOthers, running * read)
+            + weigh(Mechanism::Beside, beside)
+            + weigh(Mechanism::Memory, again)
     }
 
-    fn of(candidate: &Candidate) -> f64 {
-        let far = if candidate.near { 0.0 } else { FAR_MS };
-        let cold = if candidate.cold { COLD_MS } else { 0.0 };
-        let familiar = if candidate.familiar { FAMILIAR_MS } else { 0.0 };
-        let warm = if candidate.warm { WARM_MS } else { 0.0 };
-        let work = Self::work(candidate) * (candidate.slowness / DOUBT).max(1.0);
-        Self::loss(candidate) + work + far + cold - familiar - warm
+    fn of(self, candidate: &Candidate) -> f64 {
+        let when = |mechanism, holds: bool, value: f64| {
+            let value = if holds { value } else { 0.0 };
+            self.enabled.weigh(mechanism, value)
+        };
+        let far = when(Mechanism::Distance, !candidate.near, FAR_MS);
+        let cold = when(Mechanism::Cold, candidate.cold, COLD_MS);
+        let familiar = when(Mechanism::Familiar, candidate.familiar, FAMILIAR_MS);
+        let warm = when(Mechanism::Warm, candidate.warm, WARM_MS);
+        let slow = (candidate.slowness / DOUBT).max(1.0) - 1.0;
+        let slow = 1.0 + self.enabled.weigh(Mechanism::Slowness, slow);
+        let loss = self.enabled.weigh(Mechanism::Risk, Self::loss(candidate));
+        loss + self.work(candidate) * slow + far + cold - familiar - warm
     }
 }
 
 impl Policy for Cost {
     fn choose(&self, candidates: &[Candidate]) -> Option<usize> {
-        let key = |c: &Candidate| (Self::of(c), c.draw);
+        let key = |c: &Candidate| (self.of(c), c.draw);
         let places = candidates.iter().enumerate();
         let least = places.min_by(|(_, a), (_, b)| {
             let (a, b) = (key(a), key(b));
@@ -110,6 +134,6 @@
 inventory::submit! {
     Plugin {
         name: "cost",
-        build: || Arc::new(Cost),
+        build: |enabled| Arc::new(Cost { enabled }),
     }
 }
--- a/crates/gradedyke-gateway/src/placement/least_loaded.rs
+++ b/crates/gradedyke-gateway/src/placement/least_loaded.rs
@@ -18,6 +18,6 @@
 inventory::submit! {
     Plugin {
         name: "least_loaded",
-        build: || Arc::new(LeastLoaded),
+        build: |_| Arc::new(LeastLoaded),
     }
 }
--- a/crates/gradedyke-gateway/src/placement/mod.rs
+++ b/crates/gradedyke-gateway/src/placement/mod.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 
 use crate::estimate::Times;
+use crate::mechanism::Enabled;
 
 /// What a policy knows of a server that could run the request.
 #[derive(Clone, Copy, Debug)]
@@ -62,8 +63,8 @@
 pub struct Plugin {
     /// Its name.
     pub name: &'static str,
-    /// Makes one.
-    pub build: fn() -> Arc<dyn Policy>,
+    /// Makes one that uses the mechanisms which are on.
+    pub build: fn(Enabled) -> Arc<dyn Policy>,
 }
 
 inventory::collect!(Plugin);
@@ -71,11 +72,13 @@
 /// One of each registered policy, by name.
 ///
 /// ```
-/// let policies = gradedyke_gateway::placement::policies();
+/// use gradedyke_gateway::{mechanism::Enabled, placement};
+///
+/// let policies = placement::policies(Enabled::default());
 /// assert!(policies.contains_key("cost"));
 /// assert!(policies.contains_key("least_loaded"));
 /// ```
-pub fn policies() -> BTreeMap<&'static str, Arc<dyn Policy>> {
+pub fn policies(enabled: Enabled) -> BTreeMap<&'static str, Arc<dyn Policy>> {
     let plugins = inventory::iter::<Plugin>.into_iter();
-    plugins.map(|p| (p.name, (p.build)())).collect()
+    plugins.map(|p| (p.name, (p.build)(enabled))).collect()
 }
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -26,6 +26,7 @@
 use crate::dialect::Dialect;
 use crate::entry::{Door, Entry, Readiness};
 use crate::fleet::Fleet;
+use crate::mechanism::Enabled;
 use crate::settings::Settings;
 use crate::{meter, placement};
 
@@ -61,8 +62,6 @@
 /// in use let callers rest (15 s), because it counts from the start of the last
 /// request.
 const REST: Duration = Duration::from_secs(30);
-/// The placement policy in use.
-const POLICY: &str = "cost";
 
 /// A running process. Its tasks end with it.
 pub struct Process {
@@ -178,14 +177,20 @@
         };
         let own = forwards.as_ref().map(TcpListener::local_addr).transpose()?;
         let quorum = Quorum::new(mirror.clone(), &settings.data_centre, own);
-        let policy = placement::policies().remove(POLICY);
-        let policy = policy.ok_or_else(|| eyre!("no policy {POLICY}; report this"))?;
+        let decisions = settings.decisions.clone();
+        let enabled = Enabled::without(&decisions.off);
+        let policy = placement::policies(enabled).remove(decisions.placement.as_str());
+        let policy = policy
+            .ok_or_else(|| eyre!("no policy {}; see decisions.placement", decisions.placement))?;
+        tracing::info!(event = "deciding", placement = decisions.placement,
+            off = ?decisions.off);
         let entry = Arc::new(Entry {
             dialect: world.dialect.clone(),
             mirror: mirror.clone(),
             config: ArcSwapOption::empty(),
-            fleet: Fleet::new(&settings.data_centre, own, policy),
+            fleet: Fleet::new(&settings.data_centre, own, policy, enabled),
             quorum: quorum.clone(),
+            enabled,
             drain: CancellationToken::new(),
             configured: AtomicU64::new(0),
             applied: Mutex::new(0),
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -7,6 +7,9 @@
 use gradedyke_base::settings::parse::{Error, Source};
 use serde::Deserialize;
 
+use crate::mechanism::{Enabled, Mechanism};
+use crate::placement;
+
 /// Addresses a process listens on.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -59,8 +62,33 @@
     /// in milliseconds.
     #[serde(default = "drain_ms")]
     pub drain_ms: u64,
+    /// How an entry decides.
+    #[serde(default)]
+    pub decisions: Decisions,
+}
+
+/// How an entry decides.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Decisions {
+    /// The policy that chooses a request's server, by its registered name.
+    pub placement: String,
+    /// Mechanisms that are switched off, to measure what they are worth.
+    pub off: Vec<Mechanism>,
 }
 
+impl Default for Decisions {
+    fn default() -> Self {
+        Self {
+            placement: PLACEMENT.to_owned(),
+            off: Vec::new(),
+        }
+    }
+}
+
+/// The policy for placement where none is named.
+const PLACEMENT: &str = "cost";
+
 fn tolerate() -> usize {
     1
 }
@@ -103,6 +131,12 @@
         if settings.grace_s < SHORTEST_GRACE_S {
             return Err(source.error("grace_s", "too short to stop in; give 1 or more"));
         }
+        let policies = placement::policies(Enabled::default());
+        if !policies.contains_key(settings.decisions.placement.as_str()) {
+            let names: Vec<&str> = policies.into_keys().collect();
+            let remedy = format!("no such policy; give one of {}", names.join(", "));
+            return Err(source.error("decisions.placement", &remedy));
+        }
         Ok(settings)
     }
 
--- a/crates/gradedyke-gateway/tests/placement.rs
+++ b/crates/gradedyke-gateway/tests/placement.rs
@@ -1,6 +1,7 @@
 //! Where policies send a request, by what is known of two engines.
 
 use gradedyke_gateway::estimate::Times;
+use gradedyke_gateway::mechanism::Enabled;
 use gradedyke_gateway::placement::{Candidate, policies};
 
 /// An engine with nothing in progress and the whole of a prompt to read.
@@ -30,7 +31,7 @@
 
 /// The name of the engine that the policy in use chooses.
 fn chosen(holder: Candidate, other: Candidate) -> &'static str {
-    let policy = policies().remove("cost").unwrap();
+    let policy = policies(Enabled::default()).remove("cost").unwrap();
     let place = policy.choose(&[holder, other]).unwrap();
     ["holder", "other"][place]
 }
