Go on with resumable streams elsewhere when they break off or fall silent

Cause: an engine that hangs, sends only a head or is dark was noticed when the call's time was over, 4 s, and callers leave a silent stream after 2 s, so that mostly nothing was noted at all. Routes whose streams may be resumed were treated as ones that may run once. Streams that broke off at once cost little: callers send the turn again.

Change: an engine's next event is waited for 4 times as long as was expected there (reading, queue, what runs beside), and at least 1.5 times the objective. After that the server counts as having failed one, for all entries, and a stream that may be resumed goes on at another one behind its last event, inside the same answer. One that may run once keeps its server and its time. Connections for resumable streams may rest as long as those for other repeatable requests.

--- a/crates/gradedyke-gateway/src/config.rs
+++ b/crates/gradedyke-gateway/src/config.rs
@@ -62,6 +62,9 @@
     pub sticky: bool,
     /// How long turns are kept, if the system keeps them.
     pub retention: Option<Duration>,
+    /// Whether a stream that broke off may go on at another server, behind the last
+    /// event that came.
+    pub resumable: bool,
 }
 
 /// A model engine's figures.
@@ -152,6 +155,11 @@
 }
 
 impl Route {
+    /// Whether a request may run more than once.
+    pub fn repeatable(&self) -> bool {
+        self.kind == Kind::Idempotent || self.resumable
+    }
+
     /// The service for a request: by the targets' weights, the same one for
     /// requests with the same `name`.
     pub fn target(&self, name: Option<&Id>) -> Option<&str> {
--- a/crates/gradedyke-gateway/src/dialect.rs
+++ b/crates/gradedyke-gateway/src/dialect.rs
@@ -57,6 +57,8 @@
     pub left: Duration,
     /// Rank at the server; 0 is first.
     pub urgency: Option<u8>,
+    /// The event behind which a stream goes on.
+    pub after: Option<&'a [u8]>,
 }
 
 /// What the head of a backend server's answer says.
@@ -109,6 +111,9 @@
     /// What the data line of an event adds to the conversation.
     fn event_data<'a>(&self, event: &'a [u8]) -> Option<&'a [u8]>;
 
+    /// The name of an event, by which a stream can go on behind it.
+    fn event_id<'a>(&self, event: &'a [u8]) -> Option<&'a [u8]>;
+
     /// The path on which the platform asks whether callers may come.
     fn ready_path(&self) -> &str;
 
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -18,7 +18,6 @@
 use super::Entry;
 use super::call::Call;
 use super::refusal::Refusal;
-use crate::config::Kind;
 use crate::dialect::{Answer, Outbound};
 use crate::fleet::{Choice, Key, Question};
 use crate::health::Fault;
@@ -27,7 +26,7 @@
 
 /// Least time left with which a request is sent: below it a server could not
 /// even take it in.
-const LEAST: Duration = Duration::from_millis(5);
+pub const LEAST: Duration = Duration::from_millis(5);
 
 /// The head of an answer that belongs to the request.
 pub struct Answered {
@@ -113,7 +112,8 @@
 }
 
 /// Sends the request to one server after the other until one takes it.
-/// `question` is what the fleet is asked each time.
+/// `question` is what the fleet is asked each time; a stream goes on behind the event
+/// `after`.
 ///
 /// # Errors
 ///
@@ -125,10 +125,11 @@
     trail: &Trail,
     question: &Question<'_>,
     body: &Bytes,
+    after: Option<&[u8]>,
 ) -> Result<Answered, Refusal> {
     while trail.claim(call) {
         let choice = choose(entry, call, trail, question).ok_or(Refusal::NoServer)?;
-        match send(entry, call, choice, body.clone()).await {
+        match send(entry, call, trail, choice, body.clone(), after).await {
             Outcome::Answered(answered) => return Ok(*answered),
             Outcome::NotRun(Unrun::NoTime) => return Err(Refusal::TooLate),
             Outcome::NotRun(Unrun::Unreachable) => trail.unreached(),
@@ -141,7 +142,14 @@
 }
 
 /// Sends the request to a chosen server and waits for the head of the answer.
-async fn send(entry: &Entry, call: &Call, choice: Choice, body: Bytes) -> Outcome {
+async fn send(
+    entry: &Entry,
+    call: &Call,
+    trail: &Trail,
+    choice: Choice,
+    body: Bytes,
+    after: Option<&[u8]>,
+) -> Outcome {
     let now = Instant::now();
     let left = call.left(now);
     if left < LEAST {
@@ -151,18 +159,20 @@
         server: &choice.id,
         left,
         urgency: urgency(entry, call),
+        after,
     };
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = entry.dialect.outbound(&call.headers, &outbound);
-    let repeatable = call.route.kind == Kind::Idempotent;
+    let repeatable = call.route.repeatable();
     let sending = choice.pool.send(request, repeatable, now);
-    let sent = watched(entry, call, &choice, sending).await;
+    let sent = watched(entry, call, trail, &choice, sending).await;
     let (response, link) = match sent {
-        Ok(Ok(sent)) => sent,
-        Ok(Err(error)) => return failed(entry, call, &choice, &error),
-        Err(_) => {
+        Waited::Came(Ok(sent)) => sent,
+        Waited::Came(Err(error)) => return failed(entry, call, &choice, &error),
+        Waited::GivenUp => return Outcome::Unknown,
+        Waited::TimedOut => {
             entry
                 .fleet
                 .failed(choice.key, Fault::Silent, Instant::now());
@@ -178,25 +188,58 @@
     ranked.then_some(call.route.priority)
 }
 
-/// Waits for the head of an answer until the call's time is over. When a plain
-/// service takes far longer than usual, it is taken for one that may not answer at
-/// all, long before that shows. An engine that is slow reads prompts, and moving
-/// programs away from it would only make others read them too.
+/// What came of waiting for the head of an answer.
+enum Waited<T> {
+    Came(T),
+    /// It is far later than expected, and another server may be tried.
+    GivenUp,
+    TimedOut,
+}
+
+/// Waits for the head of an answer until the call's time is over. A server that takes
+/// far longer than expected is taken for one that may not answer at all, long before
+/// that shows. A stream that may go on elsewhere is given up then.
 async fn watched<T>(
     entry: &Entry,
     call: &Call,
+    trail: &Trail,
     choice: &Choice,
     sending: impl Future<Output = T>,
-) -> Result<T, tokio::time::error::Elapsed> {
+) -> Waited<T> {
     tokio::pin!(sending);
-    let late = call.late(Instant::now());
-    if call.engine().is_none() && late < call.until {
+    let now = Instant::now();
+    let late = match call.engine() {
+        Some(_) => now + patience(call, choice.view.first_ms()),
+        None => call.late(now),
+    };
+    if late < call.until {
         if let Ok(sent) = tokio::time::timeout_at(late, &mut sending).await {
-            return Ok(sent);
+            return Waited::Came(sent);
         }
         entry.fleet.failed(choice.key, Fault::Slow, Instant::now());
+        if call.route.resumable && trail.open(call) {
+            tracing::info!(event = "given_up", request = %call.id, server = %choice.id,
+                expected_ms = choice.view.first_ms(),
+                waited_ms = now.elapsed().as_millis());
+            return Waited::GivenUp;
+        }
     }
-    tokio::time::timeout_at(call.until, sending).await
+    match tokio::time::timeout_at(call.until, sending).await {
+        Ok(sent) => Waited::Came(sent),
+        Err(_) => Waited::TimedOut,
+    }
+}
+
+/// How many times what was expected an engine may take. In bursts, one first event in
+/// a hundred took 2.5 times as long as expected (5,600 turns of one day).
+const PATIENCE: f64 = 4.0;
+
+/// How long an engine's next event is waited for before it is taken for one that may
+/// not send any, if it was expected in `expected_ms`. Engines are not left for less
+/// than the route's objective, because their programs' prompts are read again then.
+pub fn patience(call: &Call, expected_ms: f64) -> Duration {
+    let learned = Duration::from_secs_f64(expected_ms * PATIENCE / 1e3);
+    learned.max(call.patience())
 }
 
 fn failed(entry: &Entry, call: &Call, choice: &Choice, error: &link::Error) -> Outcome {
--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -51,7 +51,12 @@
 
     /// When an answer to what is sent at `now` is far later than usual.
     pub fn late(&self, now: Instant) -> Instant {
-        now + self.route.objective.mul_f64(LATE)
+        now + self.patience()
+    }
+
+    /// How long the head of an answer is waited for before it is far later than usual.
+    pub fn patience(&self) -> Duration {
+        self.route.objective.mul_f64(LATE)
     }
 
     /// Whether the service runs models.
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -84,7 +84,7 @@
     };
     let mut may_have_run = false;
     while trail.open(&call) {
-        match attempt::dispatch(&entry, &call, &trail, &question, &call.body).await {
+        match attempt::dispatch(&entry, &call, &trail, &question, &call.body, None).await {
             Ok(answered) => {
                 if let Some(response) = read(&entry, &call, answered).await {
                     return Ok(response);
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::Entry;
-use super::attempt::{self, Trail};
+use super::attempt::{self, Answered, LEAST, Trail};
 use super::call::Call;
 use super::refusal::Refusal;
 use crate::estimate::Stream;
@@ -56,10 +56,9 @@
         Some(chain) => join(&chain.body, &call.body),
         None => call.body.clone(),
     };
-    let question = question(&call, chain.as_ref());
     let trail = Trail::default();
-    let dispatched = attempt::dispatch(entry, &call, &trail, &question, &body);
-    let answered = match dispatched.await {
+    let source = Source { chain, body, trail };
+    let answered = match source.open(entry, &call, None).await {
         Ok(answered) => answered,
         Err(refusal) => {
             // Nothing of the answer has reached the caller.
@@ -75,6 +74,8 @@
         call,
         ledger,
         sender,
+        source,
+        last: None,
         choice: answered.choice,
         output: BytesMut::new(),
         tokens: 0,
@@ -93,6 +94,39 @@
     Ok(response)
 }
 
+/// Where a stream comes from: what is sent for it, and the servers it was at.
+struct Source {
+    chain: Option<Chain>,
+    body: Bytes,
+    trail: Trail,
+}
+
+impl Source {
+    /// Has a server run the request, or go on with it behind the event `after`. One
+    /// that may be resumed is sent to another server when the first one breaks off.
+    async fn open(
+        &self,
+        entry: &Entry,
+        call: &Call,
+        after: Option<&[u8]>,
+    ) -> Result<Answered, Refusal> {
+        let question = question(call, self.chain.as_ref());
+        loop {
+            let (trail, body) = (&self.trail, &self.body);
+            let opened = attempt::dispatch(entry, call, trail, &question, body, after).await;
+            match opened {
+                Err(Refusal::Broken) if self.again(call) => {}
+                opened => return opened,
+            }
+        }
+    }
+
+    /// Whether another server may go on with the stream.
+    fn again(&self, call: &Call) -> bool {
+        call.route.resumable && self.trail.open(call) && call.left(Instant::now()) > LEAST
+    }
+}
+
 fn join(before: &Bytes, new: &Bytes) -> Bytes {
     let mut body = BytesMut::with_capacity(before.len() + new.len());
     body.extend_from_slice(before);
@@ -209,7 +243,7 @@
         object: call.meta.object.as_ref(),
         engine: true,
         room: call.engine().map_or(0, |e| e.cache_tokens),
-        repeatable: false,
+        repeatable: call.route.repeatable(),
         now: call.arrived,
     }
 }
@@ -220,6 +254,9 @@
     call: Arc<Call>,
     ledger: Ledger,
     sender: Sender,
+    source: Source,
+    /// The name of the last event that was passed on.
+    last: Option<Bytes>,
     choice: Choice,
     output: BytesMut,
     /// Tokens that were passed on, at most.
@@ -234,6 +271,8 @@
     Whole,
     /// The server broke off, or sent what is no stream.
     Broken(String),
+    /// The server has sent nothing for far longer than expected.
+    Silent,
     CallerLeft,
     TimedOut,
     /// The turn could not be kept.
@@ -244,15 +283,26 @@
     async fn run(
         mut self,
         status: StatusCode,
-        incoming: Incoming,
-        link: Link,
-        answer: crate::dialect::Answer,
+        mut incoming: Incoming,
+        mut link: Link,
+        mut answer: crate::dialect::Answer,
     ) {
         self.event_tokens = self.call.engine().map_or(1, |e| e.event_tokens);
-        let end = self.pump(status, incoming).await;
+        let end = loop {
+            let end = self.pump(status, &mut incoming).await;
+            if !matches!(end, End::Broken(_) | End::Silent) {
+                break end;
+            }
+            let Some(next) = self.resume(&end, status).await else {
+                break end;
+            };
+            // The connection to the server that broke off is closed with this.
+            (incoming, link, answer) = next;
+        };
         let (name, cause) = match &end {
             End::Whole => ("whole", ""),
             End::Broken(cause) => ("broken", cause.as_str()),
+            End::Silent => ("silent", ""),
             End::CallerLeft => ("caller_left", ""),
             End::TimedOut => ("timed_out", ""),
             End::NotKept => ("not_kept", ""),
@@ -277,7 +327,7 @@
                 return;
             }
             End::Broken(_) => self.entry.fleet.failed(self.choice.key, Fault::Lost, now),
-            End::CallerLeft | End::TimedOut | End::NotKept => {}
+            End::Silent | End::CallerLeft | End::TimedOut | End::NotKept => {}
         }
         self.ledger.settle(&self.entry, self.tokens);
         // An error instead of an end cuts the connection, so that the caller
@@ -286,14 +336,75 @@
         let _ = self.sender.send(Err(cut)).await;
     }
 
-    async fn pump(&mut self, status: StatusCode, mut incoming: Incoming) -> End {
+    /// Has another server go on with a stream that broke off, if it may be resumed.
+    async fn resume(
+        &mut self,
+        end: &End,
+        status: StatusCode,
+    ) -> Option<(Incoming, Link, crate::dialect::Answer)> {
+        if !status.is_success() || !self.source.again(&self.call) {
+            return None;
+        }
+        if let End::Broken(cause) = end {
+            self.entry
+                .fleet
+                .failed(self.choice.key, Fault::Lost, Instant::now());
+            tracing::info!(event = "stream_broke", request = %self.call.id,
+                server = %self.choice.id, cause);
+        }
+        let after = self.last.as_deref();
+        let opened = self.source.open(&self.entry, &self.call, after).await;
+        let answered = match opened {
+            Ok(answered) if answered.response.status() == status => answered,
+            Ok(_) => return None,
+            Err(refusal) => {
+                tracing::info!(event = "not_resumed", request = %self.call.id,
+                    why = refusal.name());
+                return None;
+            }
+        };
+        tracing::info!(event = "resumed", request = %self.call.id,
+            before = %self.choice.id, server = %answered.choice.id,
+            tokens = self.tokens);
+        metrics::counter!("gradedyke_streams_resumed_total").increment(1);
+        self.choice = answered.choice;
+        let incoming = answered.response.into_body();
+        Some((incoming, answered.link, answered.answer))
+    }
+
+    /// Until when the next event is waited for, and whether nothing till then means
+    /// that the server is left. Without another server there is no use in that.
+    fn patience(&self) -> (Instant, bool) {
+        let now = Instant::now();
+        let view = &self.choice.view;
+        let expected = match self.events {
+            Some(_) => view.times.gap_ms + f64::from(view.in_flight) * view.times.beside_ms,
+            None => view.first_ms(),
+        };
+        let late = now + attempt::patience(&self.call, expected);
+        let leave = late < self.call.until && self.source.again(&self.call);
+        if leave {
+            (late, true)
+        } else {
+            (self.call.until, false)
+        }
+    }
+
+    async fn pump(&mut self, status: StatusCode, incoming: &mut Incoming) -> End {
         let mut events = Splitter::default();
         loop {
+            let (until, leave) = self.patience();
             let frame = tokio::select! {
-                frame = tokio::time::timeout_at(self.call.until, incoming.frame()) => frame,
+                frame = tokio::time::timeout_at(until, incoming.frame()) => frame,
                 () = self.sender.closed() => return End::CallerLeft,
             };
             let data = match frame {
+                Err(_) if leave => {
+                    self.entry
+                        .fleet
+                        .failed(self.choice.key, Fault::Slow, Instant::now());
+                    return End::Silent;
+                }
                 Err(_) => return End::TimedOut,
                 Ok(Some(Err(error))) => return End::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -304,6 +415,8 @@
             }
             while let Some(event) = events.next_event() {
                 self.note(&event, Instant::now());
+                let name = self.entry.dialect.event_id(&event);
+                self.last = name.map(Bytes::copy_from_slice).or(self.last.take());
                 if !self.pass(event).await {
                     return End::CallerLeft;
                 }
--- a/crates/gradedyke-gateway/src/estimate.rs
+++ b/crates/gradedyke-gateway/src/estimate.rs
@@ -141,6 +141,10 @@
 pub struct Times {
     /// An answer, without waiting and without the reading of its prompt.
     pub answer_ms: f64,
+    /// To the first event of an answer; 0 at a plain service.
+    pub first_ms: f64,
+    /// From one event to the next; 0 at a plain service.
+    pub gap_ms: f64,
     /// What each request that runs beside it adds to an answer: the reading of its
     /// prompt.
     pub beside_ms: f64,
@@ -247,13 +251,19 @@
         if !engine {
             return Times {
                 answer_ms: self.call.get(),
+                first_ms: 0.0,
+                gap_ms: 0.0,
                 beside_ms: 0.0,
                 read_ms: 0.0,
             };
         }
         let events = self.events.get();
+        let first_ms = self.read.at(0.0).max(0.0);
+        let gap_ms = self.gap.at(0.0).max(0.0);
         Times {
-            answer_ms: self.read.at(0.0).max(0.0) + events * self.gap.at(0.0).max(0.0),
+            answer_ms: first_ms + events * gap_ms,
+            first_ms,
+            gap_ms,
             beside_ms: events * self.gap.slope(),
             read_ms: self.read.slope(),
         }
--- a/crates/gradedyke-gateway/src/placement/cost.rs
+++ b/crates/gradedyke-gateway/src/placement/cost.rs
@@ -76,9 +76,7 @@
         let taken = f64::from(candidate.in_flight);
         let slots = f64::from(candidate.slots.max(1));
         let running = taken.min(slots - 1.0);
-        let ahead = (taken + 1.0 - slots).max(0.0);
-        let wait = ahead * (times.answer_ms + running * times.beside_ms) / slots;
-        let wait = self.enabled.weigh(Mechanism::Waiting, wait);
+        let wait = self.enabled.weigh(Mechanism::Waiting, candidate.wait_ms());
         if candidate.engine {
             return times.answer_ms + wait + self.reading(candidate, running);
         }
--- a/crates/gradedyke-gateway/src/placement/mod.rs
+++ b/crates/gradedyke-gateway/src/placement/mod.rs
@@ -52,6 +52,24 @@
     pub draw: u64,
 }
 
+impl Candidate {
+    /// Time for which a request waits for a place there, in milliseconds.
+    pub fn wait_ms(&self) -> f64 {
+        let times = &self.times;
+        let slots = f64::from(self.slots.max(1));
+        let taken = f64::from(self.in_flight);
+        let running = taken.min(slots - 1.0);
+        let ahead = (taken + 1.0 - slots).max(0.0);
+        ahead * (times.answer_ms + running * times.beside_ms) / slots
+    }
+
+    /// Expected time to the first event of an engine's answer, in milliseconds.
+    pub fn first_ms(&self) -> f64 {
+        let read = self.unread_tokens as f64 * self.times.read_ms;
+        self.wait_ms() + self.times.first_ms + read
+    }
+}
+
 /// Decides where a request runs.
 pub trait Policy: Send + Sync {
     /// The place in `candidates` of the one to run the request, or `None` when
--- a/crates/gradedyke-gateway/tests/placement.rs
+++ b/crates/gradedyke-gateway/tests/placement.rs
@@ -19,6 +19,8 @@
         cold: false,
         times: Times {
             answer_ms: 280.0,
+            first_ms: 20.0,
+            gap_ms: 30.0,
             beside_ms: 12.0,
             read_ms: 1.0 / 60.0,
         },
