Tell all entries the pace of answers while these still run

Cause: engines that turn five times slower were known only when answers ended, 1.5 s later, and to each entry alone; with 57 entries one saw an answer of an engine every seven seconds.

Change: the time between the first events of an answer, relative to what is expected with as much beside it, is summed over 3 to 6 s and told with the load, as failures are. Eight answers as expected count beside it. The window is one type for both. The expected unread part of prompts, learned but weighed nowhere, is gone.

--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -29,6 +29,10 @@
 use crate::health::Fault;
 use crate::link::Link;
 
+/// Events after which the pace of an answer is told: enough for two gaps, and a third
+/// of an answer of usual length, so that a slow engine is known long before its
+/// answers end.
+const PACED: u32 = 3;
 /// Events that may wait for a caller that reads slowly.
 const EVENTS: usize = 64;
 /// Longest time that keepers which are there have for the exchange before a turn
@@ -81,6 +85,7 @@
         tokens: 0,
         event_tokens: 0,
         events: None,
+        count: 0,
     };
     let (incoming, link, answer) = (
         answered.response.into_body(),
@@ -262,8 +267,10 @@
     /// Tokens that were passed on, at most.
     tokens: u32,
     event_tokens: u32,
-    /// When its first event and its last one so far came.
+    /// When the first event of its server and the last one so far came.
     events: Option<(Instant, Instant)>,
+    /// How many came of that server.
+    count: u32,
 }
 
 /// How a stream ended.
@@ -368,6 +375,7 @@
             tokens = self.tokens);
         metrics::counter!("gradedyke_streams_resumed_total").increment(1);
         self.choice = answered.choice;
+        (self.events, self.count) = (None, 0);
         let incoming = answered.response.into_body();
         Some((incoming, answered.link, answered.answer))
     }
@@ -467,7 +475,7 @@
             unread: view.unread_tokens,
             first_ms: first.as_secs_f64() * 1e3,
             rest_ms: rest.as_secs_f64() * 1e3,
-            events: (self.tokens / self.event_tokens.max(1)).saturating_sub(1),
+            events: self.count.saturating_sub(1),
         };
         let (parts, made) = (&self.call.meta.parts, u64::from(self.tokens));
         let fleet = &self.entry.fleet;
@@ -478,6 +486,12 @@
     fn note(&mut self, event: &Bytes, now: Instant) {
         let first = self.events.map_or(now, |(first, _)| first);
         self.events = Some((first, now));
+        self.count += 1;
+        if self.count == PACED {
+            let (key, beside) = (self.choice.key, self.choice.view.in_flight);
+            let gap = (now - first) / (PACED - 1);
+            self.entry.fleet.paced(key, beside, gap, now);
+        }
         if let Some(data) = self.entry.dialect.event_data(event) {
             self.output.extend_from_slice(data);
             self.output.extend_from_slice(b"\n");
--- a/crates/gradedyke-gateway/src/estimate.rs
+++ b/crates/gradedyke-gateway/src/estimate.rs
@@ -6,6 +6,8 @@
 //! with other engines or services is learned within some tens of answers, and
 //! nothing here has to be set.
 
+use std::ops::Add;
+
 /// Share of its weight that an observation keeps when another comes: a hundred
 /// count, which an entry sees within seconds under load.
 const FADE: f64 = 0.99;
@@ -136,6 +138,56 @@
     }
 }
 
+/// How long answers of a server took relative to what was expected, added up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pace {
+    /// Answers.
+    pub answers: u32,
+    /// Their times relative to what was expected, in hundredths.
+    pub hundredths: u32,
+}
+
+impl Add for Pace {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            answers: self.answers + other.answers,
+            hundredths: self.hundredths + other.hundredths,
+        }
+    }
+}
+
+/// Answers as expected that count besides those that were seen, so that a single one
+/// does not make a server slow.
+const AS_EXPECTED: f64 = 8.0;
+/// The most that one answer counts, relative to what was expected.
+const SLOWEST: f64 = 20.0;
+
+impl Pace {
+    /// One answer that took `ratio` times as long as expected.
+    pub fn of(ratio: f64) -> Self {
+        Self {
+            answers: 1,
+            hundredths: (ratio.clamp(0.0, SLOWEST) * 100.0) as u32,
+        }
+    }
+
+    /// How slow the server is; 1 is as expected.
+    ///
+    /// ```
+    /// use gradedyke_gateway::estimate::Pace;
+    ///
+    /// let pace = Pace::of(5.0) + Pace::of(5.0);
+    /// assert_eq!(pace.slowness(), 1.8);
+    /// assert_eq!(Pace::default().slowness(), 1.0);
+    /// ```
+    pub fn slowness(self) -> f64 {
+        let sum = f64::from(self.hundredths) / 100.0;
+        (sum + AS_EXPECTED) / (f64::from(self.answers) + AS_EXPECTED)
+    }
+}
+
 /// Usual times at a service, in milliseconds, as a policy weighs them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
@@ -183,16 +235,14 @@
 const EVENTS: f64 = 8.0;
 /// Time of a call at a plain service at first: those met so far take 26 to 312 ms.
 const CALL_MS: f64 = 200.0;
+/// Least time that is expected of anything.
+const LEAST_MS: f64 = 0.1;
 /// Observations for which a first value counts.
 const PRIOR: f64 = 10.0;
 /// Prompt tokens over which the first value of reading holds.
 const READ_SPAN: f64 = 2_000.0;
 /// Requests side by side over which the first value of gaps holds.
 const GAP_SPAN: f64 = 16.0;
-/// Tokens of a prompt that have to be read, at first: a short question with what
-/// was answered before.
-const UNREAD: f64 = 500.0;
-
 /// What was learned of a service.
 #[derive(Clone, Copy, Debug)]
 pub struct Service {
@@ -200,7 +250,6 @@
     read: Line,
     /// Time between events over the requests beside it.
     gap: Line,
-    unread: Mean,
     events: Mean,
     /// Time to the head of a plain service's answer.
     call: Mean,
@@ -211,7 +260,6 @@
         Self {
             read: Line::new(FIRST_MS, READ_MS, READ_SPAN, PRIOR),
             gap: Line::new(GAP_MS, GAP_BESIDE_MS, GAP_SPAN, PRIOR),
-            unread: Mean::new(UNREAD, PRIOR),
             events: Mean::new(EVENTS, PRIOR),
             call: Mean::new(CALL_MS, PRIOR),
         }
@@ -219,23 +267,25 @@
 }
 
 impl Service {
-    /// Takes in an answer of an engine. Returns how long it took relative to what
-    /// was expected, if that says something of the engine.
-    pub fn stream(&mut self, stream: &Stream) -> Option<f64> {
+    /// How long the time between two events of an engine is relative to what is
+    /// expected with `beside` others there.
+    pub fn ratio(&self, beside: u32, slots: u32, gap_ms: f64) -> f64 {
+        let expected = self.gap.at(f64::from(beside.min(slots)));
+        gap_ms / expected.max(LEAST_MS)
+    }
+
+    /// Takes in an answer of an engine.
+    pub fn stream(&mut self, stream: &Stream) {
         // What waited for a place says nothing of reading.
         if stream.beside < stream.slots / 2 {
             self.read.add(stream.unread as f64, stream.first_ms);
         }
-        self.unread.add(stream.unread as f64);
         self.events.add(f64::from(stream.events));
-        if stream.events == 0 {
-            return None;
+        if stream.events > 0 {
+            let beside = f64::from(stream.beside.min(stream.slots));
+            let gap = stream.rest_ms / f64::from(stream.events);
+            self.gap.add(beside, gap);
         }
-        let beside = f64::from(stream.beside.min(stream.slots));
-        let gap = stream.rest_ms / f64::from(stream.events);
-        let expected = self.gap.at(beside);
-        self.gap.add(beside, gap);
-        (expected > 0.0).then(|| gap / expected)
     }
 
     /// Takes in an answer of a plain service. Returns how long it took relative to
@@ -243,7 +293,7 @@
     pub fn call(&mut self, ms: f64) -> f64 {
         let expected = self.call.get();
         self.call.add(ms);
-        ms / expected
+        ms / expected.max(LEAST_MS)
     }
 
     /// Usual times at the service.
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -17,12 +17,13 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
-use crate::estimate::{self, Stream, Times};
+use crate::estimate::{self, Pace, Stream, Times};
 use crate::health::{Counts, Fault, Health, Told};
 use crate::link::Pool;
 use crate::mechanism::{Enabled, Mechanism};
 use crate::placement::{Candidate, Policy};
 use crate::prefix::{Cache, Part};
+use crate::window::Window;
 
 new_key_type! {
     /// A backend server in the fleet.
@@ -42,8 +43,6 @@
 const TOLD: Duration = Duration::from_millis(1_500);
 /// Names remembered for each server: conversations and objects it has seen.
 const SEEN: usize = 4_096;
-/// Weight of the newest answer in a server's slowness.
-const NEWEST: f64 = 0.1;
 
 /// A backend server as the directory lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -83,8 +82,8 @@
     others: Busy,
     health: Health,
     cold_until: Instant,
-    /// Average time of its answers, relative to what was expected of the service.
-    slowness: f64,
+    /// How long its answers take relative to what is expected of the service.
+    pace: Window<Pace>,
     seen: HashMap<Id, Instant>,
     /// What it holds of prompts, if it is an engine.
     cache: Cache,
@@ -281,6 +280,7 @@
         let servers = self.lock();
         let busy = servers.servers.values().map(|known| {
             let told = known.health.told(now);
+            let pace = known.pace.sum(now);
             Busy {
                 server: load::server(&known.server.id),
                 requests: known.in_flight,
@@ -288,9 +288,12 @@
                 failures: told.counts.failures,
                 ended: told.counts.requests,
                 unreached: told.unreached,
+                paced: pace.answers,
+                pace: pace.hundredths,
             }
         });
-        let busy = busy.filter(|b| b.requests + b.failures + b.unreached > 0);
+        let told = |b: &Busy| b.requests + b.failures + b.unreached + b.paced > 0;
+        let busy = busy.filter(told);
         Report {
             entry: self.boot,
             address: self.own,
@@ -333,7 +336,7 @@
             warm: known.pool.warm(question.repeatable, question.now),
             cold: known.cold_until > question.now,
             times,
-            slowness: known.slowness,
+            slowness: known.slowness(question.now),
             repeatable: question.repeatable,
             risk: known.risk(question.now),
             draw: draw(question.request, &known.server.id),
@@ -352,7 +355,7 @@
         if let Some(time) = time {
             let learned = servers.learned.entry(service).or_default();
             let ratio = learned.call(time.as_secs_f64() * 1e3);
-            servers.servers[key].pace(ratio);
+            servers.servers[key].pace.add(Pace::of(ratio), now);
         }
     }
 
@@ -367,9 +370,21 @@
         }
         let service = known.server.service.clone();
         let learned = servers.learned.entry(service).or_default();
-        if let Some(ratio) = learned.stream(stream) {
-            servers.servers[key].pace(ratio);
-        }
+        learned.stream(stream);
+    }
+
+    /// Takes in the time between two events of an engine's answer that has begun, with
+    /// `beside` others there.
+    pub fn paced(&self, key: Key, beside: u32, gap: Duration, now: Instant) {
+        let mut servers = self.lock();
+        let Some(known) = servers.servers.get(key) else {
+            return;
+        };
+        let learned = servers.learned.get(&known.server.service).copied();
+        let gap_ms = gap.as_secs_f64() * 1e3;
+        let learned = learned.unwrap_or_default();
+        let ratio = learned.ratio(beside, known.server.slots, gap_ms);
+        servers.servers[key].pace.add(Pace::of(ratio), now);
     }
 
     /// Takes in that a request failed by a server's fault.
@@ -421,9 +436,13 @@
         self.seen.insert(object.clone(), now);
     }
 
-    /// Takes in how long an answer took, relative to what was expected.
-    fn pace(&mut self, ratio: f64) {
-        self.slowness += (ratio - self.slowness) * NEWEST;
+    /// How slow it is by what this entry and others saw; 1 is as expected.
+    fn slowness(&self, now: Instant) -> f64 {
+        let told = Pace {
+            answers: self.others.paced,
+            hundredths: self.others.pace,
+        };
+        (self.pace.sum(now) + told).slowness()
     }
 
     /// This entry's share of the requests that the server ran lately, 0 to 1: what
@@ -486,7 +505,7 @@
             others: Busy::default(),
             health: Health::default(),
             cold_until: learned + server.cold,
-            slowness: 1.0,
+            pace: Window::default(),
             seen: HashMap::new(),
             cache: Cache::default(),
             replaced: false,
--- a/crates/gradedyke-gateway/src/health.rs
+++ b/crates/gradedyke-gateway/src/health.rs
@@ -10,10 +10,13 @@
 //! each failure raises by the same, which drove programs away from engines that
 //! held their prompts, made these slow by reading, and so raised it further.
 
+use std::ops::Add;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::window::Window;
+
 /// How long a server that failed gets no work while others do, the first time.
 const REST_FIRST: Duration = Duration::from_millis(500);
 /// The longest such rest.
@@ -21,9 +24,6 @@
 /// How long it is told to other entries that a server cannot be reached: one that
 /// comes back is seen by its next request.
 const UNREACHED: Duration = Duration::from_secs(2);
-/// Shortest time over which requests are counted; the longest is twice that.
-/// Troubles of the deployments in use last 4 to 8 s.
-const SPAN: Duration = Duration::from_secs(3);
 /// Requests that count as good besides those that were counted, so that a single
 /// failure is not taken for a server that always fails.
 const PRIOR: f64 = 3.0;
@@ -73,14 +73,18 @@
     pub requests: u32,
 }
 
-impl Counts {
-    fn plus(self, other: Counts) -> Counts {
-        Counts {
+impl Add for Counts {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
             failures: self.failures + other.failures,
             requests: self.requests + other.requests,
         }
     }
+}
 
+impl Counts {
     /// Estimated share that fails, 0 to 1.
     ///
     /// ```
@@ -95,38 +99,6 @@
     }
 }
 
-/// Counts over the last seconds, in two halves.
-#[derive(Clone, Debug, Default)]
-struct Window {
-    since: Option<Instant>,
-    current: Counts,
-    before: Counts,
-}
-
-impl Window {
-    fn roll(&mut self, now: Instant) {
-        let age = self.since.map(|since| now.saturating_duration_since(since));
-        match age {
-            Some(age) if age < SPAN => return,
-            Some(age) if age < 2 * SPAN => self.before = self.current,
-            _ => self.before = Counts::default(),
-        }
-        self.current = Counts::default();
-        self.since = Some(now);
-    }
-
-    fn add(&mut self, counts: Counts, now: Instant) {
-        self.roll(now);
-        self.current = self.current.plus(counts);
-    }
-
-    fn sum(&self, now: Instant) -> Counts {
-        let mut window = self.clone();
-        window.roll(now);
-        window.current.plus(window.before)
-    }
-}
-
 /// What one or several entries tell of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Told {
@@ -142,7 +114,7 @@
     /// Rests in a row.
     rests: u32,
     until: Option<Instant>,
-    window: Window,
+    window: Window<Counts>,
     unreached: Option<Instant>,
 }
 
@@ -198,7 +170,7 @@
     /// Estimated share of requests that fail there, 0 to 1, with what other
     /// entries told.
     pub fn risk(&self, others: Told, now: Instant) -> f64 {
-        self.window.sum(now).plus(others.counts).risk()
+        (self.window.sum(now) + others.counts).risk()
     }
 
     /// What other entries are to be told.
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //!   [`prefix`]: what it holds of prompts; [`estimate`]: usual times;
 //!   [`placement`]: which of them runs a request.
 //! - [`mechanism`]: what of all this can be switched off, to measure its worth.
+//! - [`window`]: sums over the last seconds.
 //! - [`link`]: connections to backend servers.
 //! - [`event`]: events within a stream.
 //! - [`entry`]: requests from their head to their last byte.
@@ -36,3 +37,4 @@
 pub mod prefix;
 pub mod process;
 pub mod settings;
+pub mod window;
--- a/crates/gradedyke-model/src/world.rs
+++ b/crates/gradedyke-model/src/world.rs
@@ -152,6 +152,10 @@
     outcome: Outcome,
 }
 
+fn ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1e3)
+}
+
 fn name(engine: usize) -> Id {
     Id::parse(&format!("engine-{engine}")).unwrap_or_else(|| unreachable!("it is a name"))
 }
@@ -239,7 +243,7 @@
 
 impl World {
     fn now(&self) -> Instant {
-        self.start + Duration::from_secs_f64(self.now_ms / 1e3)
+        self.start + ms(self.now_ms)
     }
 
     fn after(&mut self, ms: f64, event: Event) {
@@ -396,6 +400,9 @@
         };
         let state = &mut self.programs[program];
         let fleet = self.entries[state.entry].fleet.clone();
+        let gap = stream.rest_ms / f64::from(stream.events.max(1));
+        let gap = Duration::from_secs_f64(gap.max(0.0) / 1e3);
+        fleet.paced(choice.key, view.in_flight, gap, self.start + ms(end_ms));
         fleet.streamed(choice.key, &state.parts, u64::from(turn.answer), &stream);
         state.answered(turn.answer);
         let second = |ms: f64| (ms / 1e3) as usize;
--- a/crates/gradedyke-turns/src/load.rs
+++ b/crates/gradedyke-turns/src/load.rs
@@ -44,6 +44,10 @@
     pub ended: u32,
     /// Entries that could not reach the server lately.
     pub unreached: u32,
+    /// Answers whose pace was seen lately.
+    pub paced: u32,
+    /// How long these took relative to what was expected, in hundredths, added up.
+    pub pace: u32,
 }
 
 /// What one entry has in progress.
@@ -105,7 +109,7 @@
     /// use gradedyke_turns::load::{Board, Busy, Report};
     ///
     /// let now = tokio::time::Instant::now();
-    /// let busy = |requests| vec![Busy { server: 7, requests, tokens: 100, failures: 0, ended: 0, unreached: 0 }];
+    /// let busy = |requests| vec![Busy { server: 7, requests, ..Busy::default() }];
     /// let mut board = Board::default();
     /// board.put(Report { entry: 1, address: None, busy: busy(2) }, now);
     /// board.put(Report { entry: 2, address: None, busy: busy(3) }, now);
@@ -126,6 +130,8 @@
             sum.failures += busy.failures;
             sum.ended += busy.ended;
             sum.unreached += busy.unreached;
+            sum.paced += busy.paced;
+            sum.pace += busy.pace;
         }
         sums.into_values().collect()
     }
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -294,6 +294,8 @@
                 failures: 0,
                 ended: 0,
                 unreached: 0,
+                paced: 0,
+                pace: 0,
             }],
         },
         time: Duration::from_secs(1),
