Tell refused callers when there is a place, and refuse at once what cannot have one

Cause: a full service told every caller to come back in 250 ms, however long its queue, and all at the same moment; and a request went to a queue also when it could not be out of it within its time.

Change: Retry-After for a full service is when one of its servers is expected to have a place, by the requests there and the learned times, from 0.25 to 2 s; all waits are spread by a quarter. A request that is expected to wait for over twice its time left, even at the server chosen for it, is refused at once. The line of a refusal tells both figures.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -129,6 +129,9 @@
 ) -> Result<Answered, Refusal> {
     while trail.claim(call) {
         let choice = choose(entry, call, trail, question).ok_or(Refusal::NoServer)?;
+        if hopeless(call, &choice) {
+            return Err(Refusal::Full);
+        }
         match send(entry, call, trail, choice, body.clone(), after).await {
             Outcome::Answered(answered) => return Ok(*answered),
             Outcome::NotRun(Unrun::NoTime) => return Err(Refusal::TooLate),
@@ -141,6 +144,18 @@
     Err(Refusal::Full)
 }
 
+/// How many times its time left a request may be expected to wait for a place before
+/// it is refused at once: what is expected is an estimate, and the caller that is told
+/// so comes back when there is a place.
+const HOPELESS: f64 = 2.0;
+
+/// Whether a request would certainly wait for a place until its time is over, even at
+/// the server that was chosen for it.
+fn hopeless(call: &Call, choice: &Choice) -> bool {
+    let left = call.left(Instant::now()).as_secs_f64() * 1e3;
+    choice.view.wait_ms() > HOPELESS * left
+}
+
 /// Sends the request to a chosen server and waits for the head of the answer.
 async fn send(
     entry: &Entry,
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -20,6 +20,7 @@
 use gradedyke_http::{Body, Handler, body};
 use gradedyke_turns::mirror::Mirror;
 use gradedyke_turns::quorum::Quorum;
+use gradedyke_turns::record::Id;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -127,13 +128,20 @@
         self: &Arc<Self>,
         request: Request<Incoming>,
         arrived: Instant,
-    ) -> Result<Response<Body>, (Refusal, Option<Meta>)> {
+    ) -> Result<Response<Body>, Refused> {
         let meta = self.dialect.meta(request.headers());
         let call = match self.read(request, meta.clone(), arrived).await {
             Ok(call) => call,
-            Err(refusal) => return Err((refusal, Some(meta))),
+            Err(refusal) => {
+                return Err(Refused {
+                    refusal,
+                    meta,
+                    drain: Duration::ZERO,
+                });
+            }
         };
         let call = Arc::new(call);
+        let refused = call.clone();
         let served = match call.route.kind {
             Kind::Stream => turn::serve(self, call).await,
             Kind::Idempotent | Kind::Once => {
@@ -143,7 +151,17 @@
                 served.unwrap_or(Err(Refusal::TimedOut))
             }
         };
-        served.map_err(|refusal| (refusal, Some(meta)))
+        served.map_err(|refusal| Refused {
+            refusal,
+            meta,
+            drain: self.drained(&refused),
+        })
+    }
+
+    /// In how long a server of the call's service is expected to have a place.
+    fn drained(&self, call: &Call) -> Duration {
+        let engine = call.engine().is_some();
+        self.fleet.drain(&call.service, engine, Instant::now())
     }
 
     /// The configuration in force. A process that has just started waits a
@@ -209,18 +227,30 @@
     }
 }
 
-fn log(meta: Option<&Meta>, refusal: Refusal, waited: Duration, config: Option<u64>) {
-    let name = |id: Option<&gradedyke_turns::record::Id>| {
-        id.map_or_else(String::new, |id| id.as_str().to_owned())
-    };
-    tracing::info!(
-        event = "refused",
-        request = name(meta.and_then(|m| m.request.as_ref())),
-        program = name(meta.and_then(|m| m.program.as_ref())),
-        why = refusal.name(),
-        waited_ms = waited.as_millis(),
-        config
-    );
+/// A request that gets an answer of the gateway's own.
+struct Refused {
+    refusal: Refusal,
+    meta: Meta,
+    /// In how long its service is expected to have a place.
+    drain: Duration,
+}
+
+impl Refused {
+    fn answer(&self, waited: Duration, config: Option<u64>) -> Response<Body> {
+        let name = |id: Option<&Id>| id.map_or_else(String::new, |id| id.as_str().to_owned());
+        let after = self.refusal.retry_after(self.drain, rand::random());
+        tracing::info!(
+            event = "refused",
+            request = name(self.meta.request.as_ref()),
+            program = name(self.meta.program.as_ref()),
+            why = self.refusal.name(),
+            waited_ms = waited.as_millis(),
+            drain_ms = self.drain.as_millis(),
+            retry_after_ms = after.map(|a| a.as_millis()),
+            config
+        );
+        self.refusal.answer(after)
+    }
 }
 
 /// Answers callers' requests.
@@ -237,14 +267,13 @@
         let seconds = arrived.elapsed().as_secs_f64();
         let outcome = match &served {
             Ok(_) => "answered",
-            Err((refusal, _)) => refusal.name(),
+            Err(refused) => refused.refusal.name(),
         };
         metrics::counter!("gradedyke_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("gradedyke_head_seconds").record(seconds);
-        let mut response = served.unwrap_or_else(|(refusal, meta)| {
+        let mut response = served.unwrap_or_else(|refused| {
             let config = entry.config.load().as_ref().map(|c| c.version);
-            log(meta.as_ref(), refusal, arrived.elapsed(), config);
-            refusal.answer()
+            refused.answer(arrived.elapsed(), config)
         });
         // Callers that stay on this connection are better served elsewhere.
         let elsewhere = outcome != "answered" && !entry.ready();
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -39,6 +39,12 @@
 /// Wait asked of a caller whose request has not run, where the cause may go
 /// away with a single server or replica: a connect's time.
 const SOON: Duration = Duration::from_millis(250);
+/// Longest wait asked for servers that are full: callers have tries for a few
+/// seconds, and what is expected that far ahead is a guess.
+const LONGEST: Duration = Duration::from_secs(2);
+/// How far waits differ, as shares of what they would be: callers that were refused
+/// together must not come back together.
+const SPREAD: std::ops::Range<f64> = 0.75..1.25;
 /// The same where the whole process has just started.
 const STARTING: Duration = Duration::from_millis(400);
 
@@ -77,12 +83,28 @@
         }
     }
 
-    fn retry_after(self) -> Option<Duration> {
-        match self {
-            Refusal::NotStarted => Some(STARTING),
-            Refusal::NoServer | Refusal::Full | Refusal::NoKeepers => Some(SOON),
-            _ => None,
-        }
+    /// How long a caller should wait before it comes back, if that may help. Where
+    /// servers are full, they are expected to have a place in `drain`. `draw`, 0 to 1,
+    /// spreads callers.
+    ///
+    /// ```
+    /// use gradedyke_gateway::entry::refusal::Refusal;
+    /// use std::time::Duration;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// assert_eq!(Refusal::Full.retry_after(second, 0.5), Some(second));
+    /// assert_eq!(Refusal::Full.retry_after(second, 0.0), Some(second.mul_f64(0.75)));
+    /// assert_eq!(Refusal::Spent.retry_after(second, 0.5), None);
+    /// ```
+    pub fn retry_after(self, drain: Duration, draw: f64) -> Option<Duration> {
+        let wait = match self {
+            Refusal::NotStarted => STARTING,
+            Refusal::Full => drain.clamp(SOON, LONGEST),
+            Refusal::NoServer | Refusal::NoKeepers => SOON,
+            _ => return None,
+        };
+        let spread = SPREAD.start + (SPREAD.end - SPREAD.start) * draw;
+        Some(wait.mul_f64(spread))
     }
 
     fn message(self) -> &'static str {
@@ -102,23 +124,24 @@
         }
     }
 
-    /// The answer.
+    /// The answer, with when to come back.
     ///
     /// ```
     /// use gradedyke_gateway::entry::refusal::Refusal;
+    /// use std::time::Duration;
     ///
-    /// let answer = Refusal::NoServer.answer();
+    /// let answer = Refusal::NoServer.answer(Some(Duration::from_millis(250)));
     /// assert_eq!(answer.status(), 503);
-    /// assert_eq!(answer.headers()["retry-after"], "0.25");
+    /// assert_eq!(answer.headers()["retry-after"], "0.250");
     /// ```
-    pub fn answer(self) -> Response<Body> {
+    pub fn answer(self, after: Option<Duration>) -> Response<Body> {
         let text = format!("{}: {}\n", self.name(), self.message());
         let mut answer = Response::new(body::full(Bytes::from(text)));
         *answer.status_mut() = self.status();
         let headers = answer.headers_mut();
         let plain = HeaderValue::from_static("text/plain");
         headers.insert(header::CONTENT_TYPE, plain);
-        let after = self.retry_after().map(|d| d.as_secs_f64().to_string());
+        let after = after.map(|d| format!("{:.3}", d.as_secs_f64()));
         if let Some(Ok(after)) = after.map(|a| HeaderValue::from_str(&a)) {
             headers.insert(header::RETRY_AFTER, after);
         }
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet.rs
@@ -21,7 +21,7 @@
 use crate::health::{Counts, Fault, Health, Told};
 use crate::link::Pool;
 use crate::mechanism::{Enabled, Mechanism};
-use crate::placement::{Candidate, Policy};
+use crate::placement::{self, Candidate, Policy};
 use crate::prefix::{Cache, Part};
 use crate::window::Window;
 
@@ -245,9 +245,11 @@
         if servers.told.is_some_and(|at| question.now - at > TOLD) {
             servers.forget_others();
         }
-        let learned = servers.learned.get(question.service).copied();
-        let learned = learned.filter(|_| self.enabled.has(Mechanism::LearnedTimes));
-        let times = learned.unwrap_or_default().times(question.engine);
+        let times = if self.enabled.has(Mechanism::LearnedTimes) {
+            servers.times(question.service, question.engine)
+        } else {
+            estimate::Service::default().times(question.engine)
+        };
         let candidates: Vec<Candidate> = keys
             .iter()
             .map(|key| self.candidate(&servers.servers[*key], question, times))
@@ -275,6 +277,18 @@
         })
     }
 
+    /// In how long one of a service's servers is expected to have a place.
+    pub fn drain(&self, service: &str, engine: bool, now: Instant) -> Duration {
+        let servers = self.lock();
+        let times = servers.times(service, engine);
+        let keys = servers.by_service.get(service).into_iter().flatten();
+        let known = keys.map(|key| &servers.servers[*key]);
+        let open = known.filter(|k| !k.server.leaving && !k.resting(now));
+        let waits = open.map(|k| placement::wait_ms(k.taken(), k.server.slots, &times));
+        let least = waits.min_by(f64::total_cmp).unwrap_or_default();
+        Duration::from_secs_f64(least.max(0.0) / 1e3)
+    }
+
     /// What this entry has in progress, and where requests failed lately.
     pub fn report(&self, now: Instant) -> Report {
         let servers = self.lock();
@@ -325,7 +339,7 @@
             parts => unread.min(known.cache.unread(parts)),
         };
         Candidate {
-            in_flight: known.in_flight + known.others.requests,
+            in_flight: known.taken(),
             tokens: known.tokens + known.others.tokens,
             room: question.room,
             slots: known.server.slots,
@@ -429,6 +443,11 @@
         }
     }
 
+    /// Requests in progress there, as far as is known.
+    fn taken(&self) -> u32 {
+        self.in_flight + self.others.requests
+    }
+
     fn see(&mut self, object: &Id, now: Instant) {
         if self.seen.len() >= SEEN {
             self.seen.clear();
@@ -474,6 +493,12 @@
 }
 
 impl Servers {
+    /// Usual times at a service, as learned so far.
+    fn times(&self, service: &str, engine: bool) -> Times {
+        let learned = self.learned.get(service).copied();
+        learned.unwrap_or_default().times(engine)
+    }
+
     /// Drops what other entries told: it is too old.
     fn forget_others(&mut self) {
         self.told = None;
--- a/crates/gradedyke-gateway/src/placement/mod.rs
+++ b/crates/gradedyke-gateway/src/placement/mod.rs
@@ -55,12 +55,7 @@
 impl Candidate {
     /// Time for which a request waits for a place there, in milliseconds.
     pub fn wait_ms(&self) -> f64 {
-        let times = &self.times;
-        let slots = f64::from(self.slots.max(1));
-        let taken = f64::from(self.in_flight);
-        let running = taken.min(slots - 1.0);
-        let ahead = (taken + 1.0 - slots).max(0.0);
-        ahead * (times.answer_ms + running * times.beside_ms) / slots
+        wait_ms(self.in_flight, self.slots, &self.times)
     }
 
     /// Expected time to the first event of an engine's answer, in milliseconds.
@@ -70,6 +65,25 @@
     }
 }
 
+/// Time for which a request waits for one of `slots` places at a server where
+/// `in_flight` others are, in milliseconds.
+///
+/// ```
+/// use gradedyke_gateway::estimate::Service;
+/// use gradedyke_gateway::placement::wait_ms;
+///
+/// let times = Service::default().times(false);
+/// assert_eq!(wait_ms(3, 4, &times), 0.0);
+/// assert_eq!(wait_ms(7, 4, &times), times.answer_ms);
+/// ```
+pub fn wait_ms(in_flight: u32, slots: u32, times: &Times) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let taken = f64::from(in_flight);
+    let running = taken.min(slots - 1.0);
+    let ahead = (taken + 1.0 - slots).max(0.0);
+    ahead * (times.answer_ms + running * times.beside_ms) / slots
+}
+
 /// Decides where a request runs.
 pub trait Policy: Send + Sync {
     /// The place in `candidates` of the one to run the request, or `None` when
