Tell from the logs what the time of programs went to: gradedyke explain

On-call engineers had the lines of each request, and nothing that adds them up. The line of a placement now names the program and what the request waited before it; explain joins the lines of all instances by request and tells for a program, or for each second, the time at the keepers, to the first event, between events, in plain services, and outside.

--- a/crates/gradedyke-cli/src/help.rs
+++ b/crates/gradedyke-cli/src/help.rs
@@ -9,6 +9,7 @@
   demo      run everything in one process and show what it does
   run       run the roles that a settings file names
   serve     run one role on the users' platform
+  explain   what the time of programs went to, from the logs
   settings  check settings, or put them in force
   status    tell of an instance and the members it sees
   standin   run a stand-in for what surrounds gradedyke, to try things out
@@ -53,6 +54,21 @@
 Logs go to standard output, metrics to listen.metrics. See docs/OPERATIONS.md.
 ";
 
+const EXPLAIN: &str = "\
+usage: gradedyke explain [--program ID] [FILE]
+
+Reads the log lines of all instances from FILE or standard input. With --program,
+tells what that program's time went to, and each of its requests; without, the
+means of all requests by the second in which they ended.
+
+  keepers_ms  the keepers' word before a turn is sent
+  first_ms    queue at the engine and reading of the prompt, to the first event
+  events_ms   the events after the first
+  rest_ms     keeping the turn, and attempts that failed
+  calls_ms    plain services
+  between_ms  none of the program's requests was in progress
+";
+
 const SETTINGS: &str = "\
 usage: gradedyke settings check FILE [--instance | --serve]
        gradedyke settings apply FILE --admin ADDRESS --key KEY [--if-revision N]
@@ -90,6 +106,7 @@
     match topic {
         "demo" => DEMO,
         "run" => RUN,
+        "explain" => EXPLAIN,
         "serve" => SERVE,
         "settings" => SETTINGS,
         "status" => STATUS,
--- a/crates/gradedyke-cli/src/main.rs
+++ b/crates/gradedyke-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod demo;
+mod explain;
 mod help;
 mod logs;
 mod run;
@@ -64,6 +65,7 @@
     }
     match command {
         "demo" => demo::command(args),
+        "explain" => explain::command(args),
         "run" => run::command(args),
         "serve" => serve::command(args),
         "settings" => settings::command(args),
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -323,7 +323,10 @@
     let choice = entry.fleet.choose(&asked);
     steps.tried.extend(choice.as_ref().map(|c| c.key));
     let age = entry.mirror.age(now);
-    tracing::info!(event = "placed", request = %call.id, attempt = steps.tried.len(),
+    let program = call.meta.program.as_ref();
+    tracing::info!(event = "placed", request = %call.id,
+        program = program.map_or("none", Id::as_str), attempt = steps.tried.len(),
+        waited_ms = now.saturating_duration_since(call.arrived).as_millis(),
         server = choice.as_ref().map_or("none", |c| c.id.as_str()),
         holder = question.holder.map_or("none", Id::as_str),
         prompt = question.prompt_tokens,
