--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -2,13 +2,17 @@
 //!
 //! - [`call`]: a request that was read and routed.
 //! - [`attempt`]: one sending to one server.
-//! - [`plain`]: answers that are read whole; [`turn`]: streams and turns.
+//! - [`plain`]: answers that are read whole; [`turn`]: streams and turns. `source` has
+//!   servers run them, `relay` passes their events on, `ledger` tells what they used.
 //! - [`refusal`]: answers of the gateway's own.
 
 pub mod attempt;
 pub mod call;
+mod ledger;
 pub mod plain;
 pub mod refusal;
+mod relay;
+mod source;
 pub mod turn;
 
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
--- /dev/null
+++ b/crates/gradedyke-gateway/src/fleet/known.rs
@@ -0,0 +1,141 @@
+//! One backend server, with what is known and learned of it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gradedyke_turns::load::Busy;
+use gradedyke_turns::record::Id;
+use tokio::time::Instant;
+
+use super::Server;
+use crate::estimate::Pace;
+use crate::health::{Counts, Health, Told};
+use crate::link::Pool;
+use crate::prefix::Cache;
+use crate::window::Window;
+
+/// Other entries that could not reach a server lately from which on it gets
+/// nothing while others do: more than one, because a single one may be cut off.
+const AGREED: u32 = 2;
+/// Time after the directory's return in which living servers write their items
+/// again: twice their heartbeat, and the way.
+const RETURN: Duration = Duration::from_millis(2_500);
+/// How long a server that vanished in calm times stays as a last resort: below
+/// the 2 s in which requests must have stopped.
+const VANISHED: Duration = Duration::from_millis(1_000);
+/// Names remembered for each server: conversations and objects it has seen.
+const SEEN: usize = 4_096;
+
+/// What the directory says of a server's item.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum State {
+    Listed,
+    /// Its item vanished, which was learned then; it is a last resort for a
+    /// while.
+    Vanished(Instant),
+}
+
+/// A server and what is believed of it.
+pub(super) struct Known {
+    pub(super) server: Server,
+    pub(super) state: State,
+    pub(super) pool: Arc<Pool>,
+    pub(super) in_flight: u32,
+    /// Tokens of the prompts of those.
+    pub(super) tokens: u64,
+    /// What other entries have in progress there, as last told.
+    pub(super) others: Busy,
+    pub(super) health: Health,
+    pub(super) cold_until: Instant,
+    /// How long its answers take relative to what is expected of the service.
+    pub(super) pace: Window<Pace>,
+    pub(super) seen: HashMap<Id, Instant>,
+    /// What it holds of prompts, if it is an engine.
+    pub(super) cache: Cache,
+    /// Another server has its address; its item only has not vanished yet.
+    pub(super) replaced: bool,
+}
+
+impl Known {
+    /// A server that was listed just now, of which nothing is known yet.
+    pub(super) fn new(server: Server, learned: Instant) -> Self {
+        Self {
+            state: State::Listed,
+            pool: Arc::new(Pool::new(server.address)),
+            in_flight: 0,
+            tokens: 0,
+            others: Busy::default(),
+            health: Health::default(),
+            cold_until: learned + server.cold,
+            pace: Window::default(),
+            seen: HashMap::new(),
+            cache: Cache::default(),
+            replaced: false,
+            server,
+        }
+    }
+
+    /// Whether a server that vanished is no longer even a last resort. Without
+    /// the directory nothing is certain; after its return, living servers need
+    /// a moment to write their items again.
+    pub(super) fn gone(&self, steady: Option<Instant>, now: Instant) -> bool {
+        let State::Vanished(learned) = self.state else {
+            return false;
+        };
+        let calm = learned + VANISHED;
+        match steady {
+            None => false,
+            Some(steady) if learned < steady + RETURN => now >= calm.max(steady + RETURN),
+            Some(_) => now >= calm,
+        }
+    }
+
+    /// Requests in progress there, as far as is known.
+    pub(super) fn taken(&self) -> u32 {
+        self.in_flight + self.others.requests
+    }
+
+    pub(super) fn see(&mut self, object: &Id, now: Instant) {
+        if self.seen.len() >= SEEN {
+            self.seen.clear();
+        }
+        self.seen.insert(object.clone(), now);
+    }
+
+    /// How slow it is by what this entry and others saw; 1 is as expected.
+    pub(super) fn slowness(&self, now: Instant) -> f64 {
+        let told = Pace {
+            answers: self.others.paced,
+            hundredths: self.others.pace,
+        };
+        (self.pace.sum(now) + told).slowness()
+    }
+
+    /// This entry's share of the requests that the server ran lately, 0 to 1: what
+    /// others send fills its memory unseen.
+    pub(super) fn own_share(&self, now: Instant) -> f64 {
+        let own = f64::from(self.health.told(now).counts.requests + 1);
+        own / (own + f64::from(self.others.ended))
+    }
+
+    /// What other entries told of its failures.
+    pub(super) fn told(&self) -> Told {
+        Told {
+            counts: Counts {
+                failures: self.others.failures,
+                requests: self.others.ended,
+            },
+            unreached: self.others.unreached,
+        }
+    }
+
+    pub(super) fn risk(&self, now: Instant) -> f64 {
+        self.health.risk(self.told(), now)
+    }
+
+    /// Whether others should run requests, as long as there are any.
+    pub(super) fn resting(&self, now: Instant) -> bool {
+        self.health.resting(now) || self.others.unreached >= AGREED
+    }
+}
--- a/crates/gradedyke-gateway/src/fleet.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -4,6 +4,11 @@
 //! stays in use. A server whose item vanished while the directory was away is
 //! kept as a last resort for the time in which living servers come back; one
 //! whose item vanished in calm times has gone.
+//!
+//! `registry` holds the servers there are, `known` what is believed of one.
+
+mod known;
+mod registry;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,36 +18,26 @@
 use gradedyke_turns::load::{self, Busy, Report};
 use gradedyke_turns::mirror::Item;
 use gradedyke_turns::record::Id;
-use slotmap::{SlotMap, new_key_type};
+use slotmap::new_key_type;
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
 use crate::estimate::{self, Pace, Stream, Times};
-use crate::health::{Counts, Fault, Health, Told};
+use crate::health::Fault;
 use crate::link::Pool;
 use crate::mechanism::{Enabled, Mechanism};
 use crate::placement::{self, Candidate, Policy};
-use crate::prefix::{Cache, Part};
-use crate::window::Window;
+use crate::prefix::Part;
+use known::{Known, State};
+use registry::Servers;
 
 new_key_type! {
     /// A backend server in the fleet.
     pub struct Key;
 }
 
-/// Other entries that could not reach a server lately from which on it gets
-/// nothing while others do: more than one, because a single one may be cut off.
-const AGREED: u32 = 2;
-/// Time after the directory's return in which living servers write their items
-/// again: twice their heartbeat, and the way.
-const RETURN: Duration = Duration::from_millis(2_500);
-/// How long a server that vanished in calm times stays as a last resort: below
-/// the 2 s in which requests must have stopped.
-const VANISHED: Duration = Duration::from_millis(1_000);
 /// How long what other entries told counts: several requests' time.
 const TOLD: Duration = Duration::from_millis(1_500);
-/// Names remembered for each server: conversations and objects it has seen.
-const SEEN: usize = 4_096;
 
 /// A backend server as the directory lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,34 +58,6 @@
     pub cold: Duration,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
-    Listed,
-    /// Its item vanished, which was learned then; it is a last resort for a
-    /// while.
-    Vanished(Instant),
-}
-
-struct Known {
-    server: Server,
-    state: State,
-    pool: Arc<Pool>,
-    in_flight: u32,
-    /// Tokens of the prompts of those.
-    tokens: u64,
-    /// What other entries have in progress there, as last told.
-    others: Busy,
-    health: Health,
-    cold_until: Instant,
-    /// How long its answers take relative to what is expected of the service.
-    pace: Window<Pace>,
-    seen: HashMap<Id, Instant>,
-    /// What it holds of prompts, if it is an engine.
-    cache: Cache,
-    /// Another server has its address; its item only has not vanished yet.
-    replaced: bool,
-}
-
 /// What is asked of the fleet.
 #[derive(Clone, Debug)]
 pub struct Question<'a> {
@@ -145,17 +112,6 @@
     }
 }
 
-#[derive(Default)]
-struct Servers {
-    servers: SlotMap<Key, Known>,
-    by_id: HashMap<Id, Key>,
-    by_service: HashMap<String, Vec<Key>>,
-    /// What was learned of each service.
-    learned: HashMap<String, estimate::Service>,
-    /// When it was last told what other entries have in progress.
-    told: Option<Instant>,
-}
-
 /// The backend servers as this entry sees them.
 pub struct Fleet {
     data_centre: String,
@@ -427,163 +383,6 @@
     }
 }
 
-impl Known {
-    /// Whether a server that vanished is no longer even a last resort. Without
-    /// the directory nothing is certain; after its return, living servers need
-    /// a moment to write their items again.
-    fn gone(&self, steady: Option<Instant>, now: Instant) -> bool {
-        let State::Vanished(learned) = self.state else {
-            return false;
-        };
-        let calm = learned + VANISHED;
-        match steady {
-            None => false,
-            Some(steady) if learned < steady + RETURN => now >= calm.max(steady + RETURN),
-            Some(_) => now >= calm,
-        }
-    }
-
-    /// Requests in progress there, as far as is known.
-    fn taken(&self) -> u32 {
-        self.in_flight + self.others.requests
-    }
-
-    fn see(&mut self, object: &Id, now: Instant) {
-        if self.seen.len() >= SEEN {
-            self.seen.clear();
-        }
-        self.seen.insert(object.clone(), now);
-    }
-
-    /// How slow it is by what this entry and others saw; 1 is as expected.
-    fn slowness(&self, now: Instant) -> f64 {
-        let told = Pace {
-            answers: self.others.paced,
-            hundredths: self.others.pace,
-        };
-        (self.pace.sum(now) + told).slowness()
-    }
-
-    /// This entry's share of the requests that the server ran lately, 0 to 1: what
-    /// others send fills its memory unseen.
-    fn own_share(&self, now: Instant) -> f64 {
-        let own = f64::from(self.health.told(now).counts.requests + 1);
-        own / (own + f64::from(self.others.ended))
-    }
-
-    /// What other entries told of its failures.
-    fn told(&self) -> Told {
-        Told {
-            counts: Counts {
-                failures: self.others.failures,
-                requests: self.others.ended,
-            },
-            unreached: self.others.unreached,
-        }
-    }
-
-    fn risk(&self, now: Instant) -> f64 {
-        self.health.risk(self.told(), now)
-    }
-
-    /// Whether others should run requests, as long as there are any.
-    fn resting(&self, now: Instant) -> bool {
-        self.health.resting(now) || self.others.unreached >= AGREED
-    }
-}
-
-impl Servers {
-    /// Usual times at a service, as learned so far.
-    fn times(&self, service: &str, engine: bool) -> Times {
-        let learned = self.learned.get(service).copied();
-        learned.unwrap_or_default().times(engine)
-    }
-
-    /// Drops what other entries told: it is too old.
-    fn forget_others(&mut self) {
-        self.told = None;
-        for known in self.servers.values_mut() {
-            known.others = Busy::default();
-        }
-    }
-
-    fn list(&mut self, server: Server, learned: Instant) {
-        if let Some(known) = self.by_id.get(&server.id).copied() {
-            let known = &mut self.servers[known];
-            if known.server.leaving != server.leaving {
-                tracing::info!(event = "server_changed", server = %server.id,
-                    leaving = server.leaving);
-            }
-            known.state = State::Listed;
-            known.server = server;
-            return;
-        }
-        tracing::info!(event = "server_listed", server = %server.id, service = server.service,
-            address = %server.address, leaving = server.leaving);
-        let id = server.id.clone();
-        let service = server.service.clone();
-        let key = self.servers.insert(Known {
-            state: State::Listed,
-            pool: Arc::new(Pool::new(server.address)),
-            in_flight: 0,
-            tokens: 0,
-            others: Busy::default(),
-            health: Health::default(),
-            cold_until: learned + server.cold,
-            pace: Window::default(),
-            seen: HashMap::new(),
-            cache: Cache::default(),
-            replaced: false,
-            server,
-        });
-        self.by_id.insert(id, key);
-        self.by_service.entry(service).or_default().push(key);
-    }
-
-    fn vanish(&mut self, id: &Id, learned: Instant) {
-        let Some(known) = self.by_id.get(id).copied() else {
-            return;
-        };
-        let known = &mut self.servers[known];
-        if known.state == State::Listed {
-            tracing::info!(event = "server_vanished", server = %id);
-            known.state = State::Vanished(learned);
-        }
-    }
-
-    fn remove(&mut self, id: &Id) {
-        let Some(key) = self.by_id.remove(id) else {
-            return;
-        };
-        if let Some(known) = self.servers.remove(key) {
-            tracing::info!(event = "server_gone", server = %id);
-            known.pool.clear();
-            if let Some(keys) = self.by_service.get_mut(&known.server.service) {
-                keys.retain(|k| *k != key);
-            }
-        }
-    }
-
-    /// The servers that may run the request: of the best kind there are.
-    fn able(&self, question: &Question<'_>, rests: bool) -> Vec<Key> {
-        let Some(keys) = self.by_service.get(question.service) else {
-            return Vec::new();
-        };
-        let rank = |key: &Key| {
-            let known = &self.servers[*key];
-            let vanished = known.state != State::Listed;
-            (vanished, rests && known.resting(question.now))
-        };
-        let open = |key: &&Key| {
-            let known = &self.servers[**key];
-            !known.server.leaving && !known.replaced && !question.tried.contains(key)
-        };
-        let open: Vec<Key> = keys.iter().filter(open).copied().collect();
-        let best = open.iter().map(rank).min();
-        open.into_iter().filter(|k| Some(rank(k)) == best).collect()
-    }
-}
-
 fn draw(request: &Id, server: &Id) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
     let mut hasher = DefaultHasher::new();
