--- a/crates/gradedyke-load/src/main.rs
+++ b/crates/gradedyke-load/src/main.rs
@@ -4,6 +4,7 @@
 //! Times on a shared machine are noise; every experiment measures what it
 //! compares side by side in one run and gives ratios beside the raw figures.
 
+mod decision;
 mod memory;
 mod overhead;
 mod placement;
@@ -25,7 +26,11 @@
 ";
 
 /// The experiments, with what each one tells.
-const EXPERIMENTS: [(&str, &str); 5] = [
+const EXPERIMENTS: [(&str, &str); 6] = [
+    (
+        "decision",
+        "processor time of a choice of a server, by the number of servers",
+    ),
     (
         "overhead",
         "a call through entry and owner against the same straight to the engine",
@@ -85,6 +90,7 @@
 async fn run(name: &str, short: bool) -> eyre::Result<Value> {
     match name {
         "overhead" => overhead::run(short).await,
+        "decision" => decision::measure(short),
         "placement" => Ok(placement::measure(short)),
         "relay" => relay::run(short).await,
         "takeover" => takeover::run(short).await,
