--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -172,7 +172,11 @@
                 server = %self.choice.id, cause);
         }
         let after = self.last.as_deref();
-        let opened = self.source.open(&self.entry, &self.call, after).await;
+        let opened = tokio::select! {
+            opened = self.source.open(&self.entry, &self.call, after) => opened,
+            // Nobody waits for it any more.
+            () = self.sender.closed() => return None,
+        };
         let answered = match opened {
             Ok(answered) if answered.response.status() == status => answered,
             Ok(_) => return None,
