Remove four mechanisms that are worth nothing

Servers that start slow show in their pace; objects hardly come back (4,000 of them); no engine's running prompts come near its memory.

--- a/crates/gradedyke-gateway/src/config.rs
+++ b/crates/gradedyke-gateway/src/config.rs
@@ -58,8 +58,6 @@
     pub targets: Vec<Target>,
     /// Most servers a request may be sent to.
     pub attempts: u32,
-    /// Whether a server that has seen the object of a request is faster.
-    pub sticky: bool,
     /// How long turns are kept, if the system keeps them.
     pub retention: Option<Duration>,
     /// Whether a stream that broke off may go on at another server, behind the last
--- a/crates/gradedyke-gateway/src/dialect.rs
+++ b/crates/gradedyke-gateway/src/dialect.rs
@@ -32,9 +32,6 @@
     pub usage: Option<Usage>,
     /// The turn it continues.
     pub parent: Option<Id>,
-    /// The object the request concerns: a server that has lately seen it is
-    /// faster.
-    pub object: Option<Id>,
     /// The parts of its prompt, in order; those shared by many come first.
     pub parts: Vec<Part>,
 }
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -76,7 +76,6 @@
         prompt_tokens: 0,
         held_tokens: 0,
         parts: &[],
-        object: call.meta.object.as_ref().filter(|_| call.route.sticky),
         engine: false,
         room: 0,
         repeatable: call.route.kind == Kind::Idempotent,
--- a/crates/gradedyke-gateway/src/entry/source.rs
+++ b/crates/gradedyke-gateway/src/entry/source.rs
@@ -69,7 +69,6 @@
         prompt_tokens: call.meta.usage.map_or(0, |u| u.prompt),
         held_tokens: chain.map_or(0, |c| held_tokens(call, c)),
         parts: &call.meta.parts,
-        object: call.meta.object.as_ref(),
         engine: true,
         room: call.engine().map_or(0, |e| e.cache_tokens),
         repeatable: call.route.repeatable(),
--- a/crates/gradedyke-gateway/src/fleet/known.rs
+++ b/crates/gradedyke-gateway/src/fleet/known.rs
@@ -1,11 +1,9 @@
 //! One backend server, with what is known and learned of it.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gradedyke_turns::load::Busy;
-use gradedyke_turns::record::Id;
 use tokio::time::Instant;
 
 use super::Server;
@@ -24,8 +22,6 @@
 /// How long a server that vanished in calm times stays as a last resort: below
 /// the 2 s in which requests must have stopped.
 const VANISHED: Duration = Duration::from_millis(1_000);
-/// Names remembered for each server: conversations and objects it has seen.
-const SEEN: usize = 4_096;
 
 /// What the directory says of a server's item.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,15 +38,11 @@
     pub(super) state: State,
     pub(super) pool: Arc<Pool>,
     pub(super) in_flight: u32,
-    /// Tokens of the prompts of those.
-    pub(super) tokens: u64,
     /// What other entries have in progress there, as last told.
     pub(super) others: Busy,
     pub(super) health: Health,
-    pub(super) cold_until: Instant,
     /// How long its answers take relative to what is expected of the service.
     pub(super) pace: Window<Pace>,
-    pub(super) seen: HashMap<Id, Instant>,
     /// What it holds of prompts, if it is an engine.
     pub(super) cache: Cache,
     /// Another server has its address; its item only has not vanished yet.
@@ -59,17 +51,14 @@
 
 impl Known {
     /// A server that was listed just now, of which nothing is known yet.
-    pub(super) fn new(server: Server, learned: Instant) -> Self {
+    pub(super) fn new(server: Server) -> Self {
         Self {
             state: State::Listed,
             pool: Arc::new(Pool::new(server.address)),
             in_flight: 0,
-            tokens: 0,
             others: Busy::default(),
             health: Health::default(),
-            cold_until: learned + server.cold,
             pace: Window::default(),
-            seen: HashMap::new(),
             cache: Cache::default(),
             replaced: false,
             server,
@@ -96,13 +85,6 @@
         self.in_flight + self.others.requests
     }
 
-    pub(super) fn see(&mut self, object: &Id, now: Instant) {
-        if self.seen.len() >= SEEN {
-            self.seen.clear();
-        }
-        self.seen.insert(object.clone(), now);
-    }
-
     /// How slow it is by what this entry and others saw; 1 is as expected.
     pub(super) fn slowness(&self, now: Instant) -> f64 {
         let told = Pace {
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -54,8 +54,6 @@
     pub slots: u32,
     /// It finishes what it has and takes nothing new.
     pub leaving: bool,
-    /// How much longer it is slow from its start.
-    pub cold: Duration,
 }
 
 /// What is asked of the fleet.
@@ -75,8 +73,6 @@
     pub held_tokens: u64,
     /// The parts of the prompt, as far as they are named.
     pub parts: &'a [Part],
-    /// The object.
-    pub object: Option<&'a Id>,
     /// Whether the service runs models.
     pub engine: bool,
     /// Tokens that the memory of one of its servers holds; 0 if it has none.
@@ -100,14 +96,12 @@
     pub since: Instant,
     /// What was known of it then.
     pub view: Candidate,
-    tokens: u64,
 }
 
 impl Drop for Choice {
     fn drop(&mut self) {
         if let Some(known) = self.fleet.lock().servers.get_mut(self.key) {
             known.in_flight = known.in_flight.saturating_sub(1);
-            known.tokens = known.tokens.saturating_sub(self.tokens);
         }
     }
 }
@@ -159,9 +153,9 @@
         !self.lock().servers.is_empty()
     }
 
-    /// Takes in that a server is listed, which was learned then.
-    pub fn list(&self, server: Server, learned: Instant) {
-        self.lock().list(server, learned);
+    /// Takes in that a server is listed.
+    pub fn list(&self, server: Server) {
+        self.lock().list(server);
     }
 
     /// Takes in an item of the directory that changed, which was learned then.
@@ -176,7 +170,7 @@
             return;
         };
         match dialect.server(&item.key, value) {
-            Ok(server) => servers.list(server, learned),
+            Ok(server) => servers.list(server),
             Err(error) => {
                 tracing::warn!(event = "server_not_read", server = %id, %error);
             }
@@ -214,10 +208,6 @@
         let (key, view) = (keys[place], candidates[place]);
         let known = servers.servers.get_mut(key)?;
         known.in_flight += 1;
-        known.tokens += question.prompt_tokens;
-        if let Some(object) = question.object {
-            known.see(object, question.now);
-        }
         let room = known.own_share(question.now) * question.room as f64;
         if self.enabled.has(Mechanism::Prefixes) {
             known.cache.keep(question.parts, 0, room as u64);
@@ -229,7 +219,6 @@
             pool: known.pool.clone(),
             since: question.now,
             view,
-            tokens: question.prompt_tokens,
         })
     }
 
@@ -254,7 +243,6 @@
             Busy {
                 server: load::server(&known.server.id),
                 requests: known.in_flight,
-                tokens: known.tokens,
                 failures: told.counts.failures,
                 ended: told.counts.requests,
                 unreached: told.unreached,
@@ -287,7 +275,6 @@
 
     fn candidate(&self, known: &Known, question: &Question<'_>, times: Times) -> Candidate {
         let holds = question.holder == Some(&known.server.id);
-        let familiar = question.object.is_some_and(|o| known.seen.contains_key(o));
         let held = if holds { question.held_tokens } else { 0 };
         let unread = question.prompt_tokens.saturating_sub(held);
         let unread = match question.parts {
@@ -296,15 +283,11 @@
         };
         Candidate {
             in_flight: known.taken(),
-            tokens: known.tokens + known.others.tokens,
-            room: question.room,
             slots: known.server.slots,
             near: known.server.data_centre == self.data_centre,
             unread_tokens: unread,
             engine: question.engine,
-            familiar,
             warm: known.pool.warm(question.repeatable, question.now),
-            cold: known.cold_until > question.now,
             times,
             slowness: known.slowness(question.now),
             repeatable: question.repeatable,
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -38,7 +38,7 @@
         }
     }
 
-    pub(super) fn list(&mut self, server: Server, learned: Instant) {
+    pub(super) fn list(&mut self, server: Server) {
         if let Some(known) = self.by_id.get(&server.id).copied() {
             let known = &mut self.servers[known];
             if known.server.leaving != server.leaving {
@@ -53,7 +53,7 @@
             address = %server.address, leaving = server.leaving);
         let id = server.id.clone();
         let service = server.service.clone();
-        let key = self.servers.insert(Known::new(server, learned));
+        let key = self.servers.insert(Known::new(server));
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
     }
--- a/crates/gradedyke-gateway/src/mechanism.rs
+++ b/crates/gradedyke-gateway/src/mechanism.rs
@@ -11,20 +11,12 @@
 pub enum Mechanism {
     /// Placement weighs the time for which a request waits for a place.
     Waiting,
-    /// Placement weighs how what runs beside a request slows it.
-    Beside,
     /// Placement weighs the reading of a prompt by an engine.
     Reading,
     /// Placement weighs the delay of others by that reading.
     ReadingForOthers,
-    /// Placement weighs whether running prompts fill an engine's memory.
-    Memory,
     /// Placement prefers servers of the own data centre.
     Distance,
-    /// Placement avoids servers that have just started.
-    Cold,
-    /// Placement prefers servers that have seen the object of a request.
-    Familiar,
     /// Placement prefers servers to which a connection rests.
     Warm,
     /// Placement weighs how slow a server is.
--- a/crates/gradedyke-gateway/src/placement/cost.rs
+++ b/crates/gradedyke-gateway/src/placement/cost.rs
@@ -21,24 +21,9 @@
     pub enabled: Enabled,
 }
 
-/// What a request beside this one at a plain service costs while places are free,
-/// as a share of the usual time there: what is known of other entries' calls is
-/// older than a call lasts, so that the place may be taken after all.
-const BESIDE: f64 = 0.06;
-/// Share of an answer's time for which a request that runs there now stays beside
-/// this one: it is halfway through on average, and who comes after it goes wherever
-/// there is room.
-const STAYS: f64 = 0.5;
 /// What the way to another data centre costs: the time of a round trip, and the
 /// price of the bytes.
 const FAR_MS: f64 = 6.0;
-/// What a server that has just started costs.
-const COLD_MS: f64 = 100.0;
-/// What it saves that a plain service's server has lately seen the object.
-const FAMILIAR_MS: f64 = 8.0;
-/// Share of a server's memory that running prompts may fill before it is
-/// expected to put some back; answers grow, and estimates are rough.
-const FULL: f64 = 0.8;
 /// What a resting connection saves: opening one, and its price. Less than the
 /// work of a call at a plain service, so that it never outweighs a queue.
 const WARM_MS: f64 = 15.0;
@@ -72,33 +57,16 @@
 
     /// The delay by the work there, for this request and for those beside it.
     fn work(self, candidate: &Candidate) -> f64 {
+        let weigh = |mechanism, value| self.enabled.weigh(mechanism, value);
         let times = &candidate.times;
-        let taken = f64::from(candidate.in_flight);
-        let slots = f64::from(candidate.slots.max(1));
-        let running = taken.min(slots - 1.0);
-        let wait = self.enabled.weigh(Mechanism::Waiting, candidate.wait_ms());
-        if candidate.engine {
-            return times.answer_ms + wait + self.reading(candidate, running);
-        }
-        let beside = taken * BESIDE * times.answer_ms;
-        times.answer_ms + wait + self.enabled.weigh(Mechanism::Beside, beside)
-    }
-
-    /// The delay at an engine by the reading of prompts: its own, those of the
-    /// `running` others, and what these are delayed by.
-    fn reading(self, candidate: &Candidate, running: f64) -> f64 {
-        let times = &candidate.times;
+        let wait = weigh(Mechanism::Waiting, candidate.wait_ms());
+        // Nothing at a plain service.
         let read = candidate.unread_tokens as f64 * times.read_ms;
-        let room = FULL * candidate.room as f64;
-        let full = candidate.room > 0 && candidate.tokens as f64 > room;
-        // Where memory is full, a prompt of usual length is read again.
-        let again = if full { times.answer_ms } else { 0.0 };
-        let beside = running * STAYS * times.beside_ms;
-        let weigh = |mechanism, value| self.enabled.weigh(mechanism, value);
-        weigh(Mechanism::Reading, read)
-            + weigh(Mechanism::ReadingForOthers, running * read)
-            + weigh(Mechanism::Beside, beside)
-            + weigh(Mechanism::Memory, again)
+        let others = f64::from(candidate.running()) * read;
+        times.answer_ms
+            + wait
+            + weigh(Mechanism::Reading, read)
+            + weigh(Mechanism::ReadingForOthers, others)
     }
 
     fn of(self, candidate: &Candidate) -> f64 {
@@ -107,13 +75,11 @@
             self.enabled.weigh(mechanism, value)
         };
         let far = when(Mechanism::Distance, !candidate.near, FAR_MS);
-        let cold = when(Mechanism::Cold, candidate.cold, COLD_MS);
-        let familiar = when(Mechanism::Familiar, candidate.familiar, FAMILIAR_MS);
         let warm = when(Mechanism::Warm, candidate.warm, WARM_MS);
         let slow = (candidate.slowness / DOUBT).max(1.0) - 1.0;
         let slow = 1.0 + self.enabled.weigh(Mechanism::Slowness, slow);
         let loss = self.enabled.weigh(Mechanism::Risk, Self::loss(candidate));
-        loss + self.work(candidate) * slow + far + cold - familiar - warm
+        loss + self.work(candidate) * slow + far - warm
     }
 }
 
--- a/crates/gradedyke-gateway/src/placement/mod.rs
+++ b/crates/gradedyke-gateway/src/placement/mod.rs
@@ -21,10 +21,6 @@
 pub struct Candidate {
     /// Requests in progress there: this entry's, and those that others told of.
     pub in_flight: u32,
-    /// Tokens of their prompts.
-    pub tokens: u64,
-    /// Tokens that its memory holds; 0 for a service that runs no model.
-    pub room: u64,
     /// Requests it runs at a time.
     pub slots: u32,
     /// Whether it stands in this entry's data centre.
@@ -34,12 +30,8 @@
     pub unread_tokens: u64,
     /// Whether it is a model engine.
     pub engine: bool,
-    /// Whether it has lately seen the object of the request.
-    pub familiar: bool,
     /// Whether a connection to it rests that the request could use.
     pub warm: bool,
-    /// Whether it is slow still, because it has just started.
-    pub cold: bool,
     /// Usual times at its service.
     pub times: Times,
     /// How long its answers take, relative to those of its service as a whole.
@@ -58,6 +50,11 @@
         wait_ms(self.in_flight, self.slots, &self.times)
     }
 
+    /// Requests that run beside this one, once it runs.
+    pub fn running(&self) -> u32 {
+        running(self.in_flight, self.slots)
+    }
+
     /// Expected time to the first event of an engine's answer, in milliseconds.
     pub fn first_ms(&self) -> f64 {
         let read = self.unread_tokens as f64 * self.times.read_ms;
@@ -77,13 +74,17 @@
 /// assert_eq!(wait_ms(7, 4, &times), times.answer_ms);
 /// ```
 pub fn wait_ms(in_flight: u32, slots: u32, times: &Times) -> f64 {
-    let slots = f64::from(slots.max(1));
     let taken = f64::from(in_flight);
-    let running = taken.min(slots - 1.0);
+    let running = f64::from(running(in_flight, slots));
+    let slots = f64::from(slots.max(1));
     let ahead = (taken + 1.0 - slots).max(0.0);
     ahead * (times.answer_ms + running * times.beside_ms) / slots
 }
 
+fn running(in_flight: u32, slots: u32) -> u32 {
+    in_flight.min(slots.max(1) - 1)
+}
+
 /// Decides where a request runs.
 pub trait Policy: Send + Sync {
     /// The place in `candidates` of the one to run the request, or `None` when
--- a/crates/gradedyke-load/src/decision.rs
+++ b/crates/gradedyke-load/src/decision.rs
@@ -4,7 +4,6 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
 
 use gradedyke_gateway::fleet::{Fleet, Question, Server};
 use gradedyke_gateway::mechanism::Enabled;
@@ -25,7 +24,7 @@
     Id::parse(text).ok_or_else(|| eyre::eyre!("{text} is no name"))
 }
 
-fn fleet(policy: &str, servers: usize, now: Instant) -> eyre::Result<Arc<Fleet>> {
+fn fleet(policy: &str, servers: usize) -> eyre::Result<Arc<Fleet>> {
     let enabled = Enabled::default();
     let chosen = placement::policies(enabled).remove(policy);
     let chosen = chosen.ok_or_else(|| eyre::eyre!("no policy {policy}"))?;
@@ -38,9 +37,8 @@
             data_centre: "here".to_owned(),
             slots: 16,
             leaving: false,
-            cold: Duration::ZERO,
         };
-        fleet.list(server, now);
+        fleet.list(server);
     }
     Ok(fleet)
 }
@@ -48,7 +46,7 @@
 /// Microseconds for a choice.
 fn choice_us(policy: &str, servers: usize, rounds: u32) -> eyre::Result<f64> {
     let start = Instant::now();
-    let fleet = fleet(policy, servers, start)?;
+    let fleet = fleet(policy, servers)?;
     let part = |name: &str, tokens| -> eyre::Result<Part> {
         Ok(Part {
             id: id(name)?,
@@ -73,7 +71,6 @@
                 prompt_tokens: 1_300,
                 held_tokens: 0,
                 parts: &parts,
-                object: None,
                 engine: true,
                 room: 100_000,
                 repeatable: false,
--- a/crates/gradedyke-load/src/placement.rs
+++ b/crates/gradedyke-load/src/placement.rs
@@ -9,9 +9,8 @@
 /// The policy whose mechanisms are switched off one by one.
 const WHOLE: &str = "cost";
 /// Mechanisms that the model can tell something of.
-const MECHANISMS: [Mechanism; 7] = [
+const MECHANISMS: [Mechanism; 6] = [
     Mechanism::Waiting,
-    Mechanism::Beside,
     Mechanism::Reading,
     Mechanism::ReadingForOthers,
     Mechanism::Prefixes,
--- a/crates/gradedyke-turns/src/load.rs
+++ b/crates/gradedyke-turns/src/load.rs
@@ -36,8 +36,6 @@
     pub server: Server,
     /// Requests.
     pub requests: u32,
-    /// Tokens of their prompts.
-    pub tokens: u64,
     /// Requests that failed lately by the server's fault.
     pub failures: u32,
     /// Requests that ended lately, one way or the other.
@@ -126,7 +124,6 @@
             let sum = sums.entry(busy.server).or_default();
             sum.server = busy.server;
             sum.requests += busy.requests;
-            sum.tokens += busy.tokens;
             sum.failures += busy.failures;
             sum.ended += busy.ended;
             sum.unreached += busy.unreached;
