--- a/crates/gradedyke-gateway/src/placement/cost.rs
+++ b/crates/gradedyke-gateway/src/placement/cost.rs
@@ -30,7 +30,8 @@
 
 /// Slowness up to which a server counts as one like the others: the average of its
 /// last answers, whose lengths differ, goes that far by chance. Without it there were
-/// 2,842 new connections to servers a day in place of 2,190 (one whole day each).
+/// 2,842 new connections to servers a day in place of 2,190 (one whole day each; what runs
+/// beside a request was weighed otherwise too).
 const DOUBT: f64 = 1.5;
 
 /// What it costs that a request which must not run twice is lost at a plain
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -54,13 +54,11 @@
 const RESERVE: Duration = Duration::from_millis(400);
 /// How often it is looked whether all requests have ended.
 const IDLE: Duration = Duration::from_millis(25);
-/// Connections of callers at a time: three quarters of the descriptors of the
-/// smallest instance in use (4,100), each caller taking up to one more towards
-/// a server.
+/// Connections of callers at a time: three quarters of 4,100 descriptors, each
+/// caller taking up to one more towards a server.
 const CONNECTIONS: usize = 1_500;
-/// Rest after which a caller's connection is closed: twice what the deployments
-/// in use let callers rest (15 s), because it counts from the start of the last
-/// request.
+/// Rest after which a caller's connection is closed: twice the 15 s that callers are
+/// usually let rest, because it counts from the start of the last request.
 const REST: Duration = Duration::from_secs(30);
 
 /// A running process. Its tasks end with it.
--- a/crates/gradedyke-gateway/src/window.rs
+++ b/crates/gradedyke-gateway/src/window.rs
@@ -5,8 +5,8 @@
 
 use tokio::time::Instant;
 
-/// Shortest time over which is summed; the longest is twice that. Troubles of the
-/// deployments in use last 4 to 8 s.
+/// Shortest time over which is summed; the longest is twice that. Troubles of a
+/// server mostly last 4 to 8 s.
 const SPAN: Duration = Duration::from_secs(3);
 
 /// A sum over the last seconds, in two halves.
--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -114,8 +114,8 @@
 pub type Position = u64;
 
 /// Bytes of conversations that a replica holds in memory: those of the last 17 s
-/// on the largest deployment in use (1.4 MB a second), in which nearly all turns
-/// are continued; a fifth of the memory of its replicas (130 MB).
+/// at 1.4 MB a second, in which nearly all turns are continued; a fifth of a memory
+/// of 130 MB.
 pub const BODIES: usize = 24 << 20;
 
 /// The state of a replica.
--- a/crates/gradedyke-turns/src/log.rs
+++ b/crates/gradedyke-turns/src/log.rs
@@ -32,8 +32,8 @@
 }
 
 /// Bytes after which a new segment is begun. A segment is read whole at the
-/// start, so this is also memory that a start takes: a thirtieth of the smallest
-/// instance that has a disk in use (120 MB).
+/// start, so this is also memory that a start takes: a thirtieth of a memory
+/// of 120 MB.
 const SEGMENT_BYTES: u64 = 4 << 20;
 /// Records that may wait for the thread.
 const QUEUE: usize = 4_096;
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -386,8 +386,8 @@
     }
 }
 
-/// Attempts that are begun at a time. The slowest replica in use (0.17 of a core)
-/// takes about 1 ms for one, and whoever asks waits 300 ms: more would be done in
+/// Attempts that are begun at a time. A replica with 0.17 of a core takes about
+/// 1 ms for one, and whoever asks waits 300 ms: more would be done in
 /// vain, and hold memory meanwhile.
 const BEGINS: usize = 192;
 /// The same of all other requests for records. They end work that has been done,
--- a/crates/gradedyke-turns/src/sync.rs
+++ b/crates/gradedyke-turns/src/sync.rs
@@ -29,7 +29,7 @@
 /// How often a spare looks whether the members are there.
 const GREET: Duration = Duration::from_millis(400);
 /// Records asked for in one call: half a megabyte of them, which a connection of
-/// the slowest replica in use (130 Mbit/s) carries in 32 ms.
+/// 130 Mbit/s carries in 32 ms.
 const RECORDS: usize = 256;
 
 /// How far one replica has followed another.
