Spread the replicas over data centres

Cause: places in the view went to whoever asked first. On the large deployment all five members stood in north-a, whose instances come first in the fixed order of starts, though 28 keepers stand in four others: the loss of that one data centre took every copy.

Change: a vacant place belongs to replicas of the data centre with the fewest members and to any other only 0.6 s later; where the members stand uneven for 5 s, one enters where two fewer are; where more count than are needed, the last of those where most are leaves, by the same conditions as one that is to be emptied. The last rule also ends the open finding of a spare that entered for a cut member and stayed. Data centres come from the settings; with one of them nothing changes.

Also mended: the positions by which a leaving replica judges whether others have followed were kept from an earlier look, if it was asked again later.

Ruled out: the list of keepers is not needed for it, precedence by time does.

Tests, both red without the rule: `turns::a_data_centre_may_be_lost_with_all_ its_disks`, `turns::members_move_to_data_centres_that_have_none`; tables in `membership`. Not measured yet: what it costs a turn.

--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -256,6 +256,7 @@
             name: settings.name.clone(),
             address: peer,
             data_centre: settings.data_centre.clone(),
+            data_centres: settings.data_centres.clone(),
             first_start: settings.first_start,
             tolerate: settings.tolerate,
         };
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -39,6 +39,9 @@
     pub name: String,
     /// Its data centre.
     pub data_centre: String,
+    /// All data centres of the deployment. Keepers take part evenly over these.
+    #[serde(default)]
+    pub data_centres: Vec<String>,
     /// Where it listens.
     pub listen: Listen,
     /// Address of the platform's key-value service.
--- a/crates/gradedyke-turns/src/membership.rs
+++ b/crates/gradedyke-turns/src/membership/mod.rs
@@ -5,14 +5,18 @@
 //! moment it drops those that are gone for good. There is no leader among the
 //! replicas, and compare-and-swap orders their changes. No more than are needed
 //! to bear the losses tolerated take part, because each costs a copy; the rest
-//! are spares that enter when a place becomes vacant.
+//! are spares that enter when a place becomes vacant, those first whose data
+//! centre has the fewest members.
 //!
 //! Why dropping is safe: any quorum of those that count has each record between
 //! them, also where a disk has been lost already. A replica counts only after it
 //! has followed a whole quorum, at a time when its members refuse requests of the
 //! view before.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+pub mod decide;
+pub mod spread;
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,26 +27,13 @@
 use tokio::time::Instant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+pub use self::decide::{Config, Sight, decide};
 use crate::index::Position;
 use crate::mirror::Mirror;
 use crate::replica::Replica;
 use crate::sync::{Follower, Progress};
 use crate::view::{self, Disk, Member, View};
 
-/// How long a replica must be out of reach before a newcomer takes its place.
-/// A killed process is back within that time as a rule.
-const GONE: Duration = Duration::from_secs(2);
-/// The same where nobody waits for the place, and only the majority is to
-/// become smaller again.
-const SURPLUS: Duration = Duration::from_secs(8);
-/// How long a replica must be out of reach before it is given up although records
-/// may be on it alone: more disks were lost than is tolerated, or one was lost
-/// before another was level. Longer than any outage of a single instance in use
-/// (12 s), so that its disk is back in time as a rule.
-const GIVEN_UP: Duration = Duration::from_secs(20);
-/// How long a replica that is to be emptied waits for a spare to take its place:
-/// the spare's look, its copying, and its counting.
-const SPARE: Duration = Duration::from_millis(2_500);
 /// How far behind another may be and still have followed: the time after which
 /// a follower asks for what has not reached it by itself, and a round.
 const LAG: Duration = Duration::from_millis(500);
@@ -57,183 +48,6 @@
     fn status(&self, name: &str, done: bool) -> (String, Vec<u8>);
 }
 
-/// How this replica takes part.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// Its instance's name.
-    pub name: String,
-    /// Where it answers.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub data_centre: String,
-    /// Whether the whole system starts for the first time, so that an empty
-    /// disk has lost nothing.
-    pub first_start: bool,
-    /// Disks that may be lost at a time.
-    pub tolerate: usize,
-}
-
-/// What a replica sees when it decides.
-#[derive(Clone, Debug)]
-pub struct Sight<'a> {
-    /// The view.
-    pub view: &'a View,
-    /// Its own disk.
-    pub disk: Disk,
-    /// How far it has followed the others.
-    pub progress: &'a HashMap<Disk, Progress>,
-    /// Since when it is to be emptied.
-    pub leave: Option<Instant>,
-    /// Names of all instances that are to be emptied.
-    pub leaving: &'a HashSet<String>,
-    /// Whether all others that count have followed all that it has.
-    pub followed: bool,
-}
-
-impl Sight<'_> {
-    /// Whether a member has been out of reach for `time`.
-    fn lost(&self, member: &Member, time: Duration, now: Instant) -> bool {
-        let progress = self.progress.get(&member.disk);
-        let lost = progress.and_then(|p| p.lost);
-        lost.is_some_and(|at| now - at >= time)
-    }
-
-    /// Whether fewer take part than are needed to bear the losses tolerated.
-    fn vacant(&self, now: Instant) -> bool {
-        let stays = |m: &&Member| !self.lost(m, GONE, now) && !self.leaving.contains(&m.name);
-        let present = self.view.members.iter().filter(stays).count();
-        present < wanted(self.view)
-    }
-}
-
-/// How many take part: the fewest whose majority survives the losses tolerated.
-fn wanted(view: &View) -> usize {
-    2 * view.tolerate + 1
-}
-
-/// The view that a replica should propose, if any.
-pub fn decide(config: &Config, sight: &Sight<'_>, now: Instant) -> Option<View> {
-    let view = sight.view;
-    match (view.find(sight.disk), sight.leave) {
-        (None, Some(_)) => None,
-        (None, None) => {
-            let again = view.members.iter().any(|m| m.name == config.name);
-            let enters = again || view.version == 0 || sight.vacant(now);
-            enters.then(|| enter(config, sight))
-        }
-        (Some(_), Some(since)) => leave(sight, since, now),
-        (Some(me), None) if me.address != config.address => Some(moved(config, sight)),
-        (Some(me), None) if me.active => drop_surplus(sight, now),
-        (Some(_), None) => activate(sight, now),
-    }
-}
-
-/// Enters the view. Before so many count that anything could have been kept, an
-/// empty disk of a first start counts at once.
-fn enter(config: &Config, sight: &Sight<'_>) -> View {
-    let mut view = sight.view.clone();
-    view.tolerate = config.tolerate;
-    let unserved = view.active().count() <= config.tolerate;
-    let mut members = view.members.clone();
-    // The same instance with another disk: that one was lost.
-    members.retain(|m| m.name != config.name);
-    members.push(Member {
-        name: config.name.clone(),
-        disk: sight.disk,
-        address: config.address,
-        data_centre: config.data_centre.clone(),
-        active: config.first_start && unserved,
-    });
-    view.next(members)
-}
-
-fn moved(config: &Config, sight: &Sight<'_>) -> View {
-    let mut members = sight.view.members.clone();
-    for member in &mut members {
-        if member.disk == sight.disk {
-            member.address = config.address;
-        }
-    }
-    sight.view.next(members)
-}
-
-/// Leaves once the others have everything and are enough. A spare that could
-/// take the place is waited for.
-fn leave(sight: &Sight<'_>, since: Instant, now: Instant) -> Option<View> {
-    let view = sight.view;
-    let others = view.active().filter(|m| m.disk != sight.disk).count();
-    let spared = others >= wanted(view) || now - since >= SPARE;
-    if !sight.followed || others <= view.tolerate || !spared {
-        return None;
-    }
-    let mut members = view.members.clone();
-    members.retain(|m| m.disk != sight.disk);
-    Some(view.next(members))
-}
-
-/// Counts from now on, and drops those that are gone.
-fn activate(sight: &Sight<'_>, now: Instant) -> Option<View> {
-    let view = sight.view;
-    let mut gone = Vec::new();
-    let mut level = 0;
-    for member in view.active() {
-        let progress = sight.progress.get(&member.disk).copied();
-        let progress = progress.unwrap_or_default();
-        if progress.lost.is_some_and(|at| now - at >= GONE) {
-            gone.push(member.disk);
-        } else if progress.lost.is_none() && progress.level >= Some(view.version) {
-            level += 1;
-        } else {
-            return None;
-        }
-    }
-    // Fewer than a quorum may lack a record that only a lost one has.
-    let active = view.active().count();
-    if level < view.quorum().min(active) && !given_up(sight, level, now) {
-        return None;
-    }
-    let mut members = view.members.clone();
-    members.retain(|m| !gone.contains(&m.disk));
-    for member in &mut members {
-        member.active |= member.disk == sight.disk;
-    }
-    Some(view.next(members))
-}
-
-/// Whether the members that are lost have been so for so long that it is better
-/// to go on without them. At least one must have been followed.
-fn given_up(sight: &Sight<'_>, level: usize, now: Instant) -> bool {
-    let present = |m: &&Member| {
-        sight
-            .progress
-            .get(&m.disk)
-            .is_some_and(|p| p.lost.is_none())
-    };
-    let mut lost = sight.view.active().filter(|m| !present(m));
-    let over = lost.all(|m| sight.lost(m, GIVEN_UP, now));
-    if over && level > 0 {
-        tracing::error!(
-            event = "replicas_given_up",
-            view = sight.view.version,
-            level,
-            remedy = "more disks were lost than is tolerated; turns may be missing"
-        );
-    }
-    over && level > 0
-}
-
-/// Drops one that has been out of reach for long, where enough others remain.
-fn drop_surplus(sight: &Sight<'_>, now: Instant) -> Option<View> {
-    let view = sight.view;
-    if view.active().count() <= wanted(view) {
-        return None;
-    }
-    let gone = view.active().find(|m| sight.lost(m, SURPLUS, now))?.disk;
-    let mut members = view.members.clone();
-    members.retain(|m| m.disk != gone);
-    Some(view.next(members))
-}
-
 /// Keeps a replica in the view.
 pub struct Membership {
     config: Config,
@@ -247,6 +61,19 @@
     leave: Option<Instant>,
     /// Where the arrivals ended at the last looks, the oldest first.
     ends: VecDeque<(Instant, Position)>,
+    /// What the last decision was about, and since when that is the same.
+    situation: (Situation, Instant),
+}
+
+/// What a replica waits for to last before it changes the view.
+#[derive(Default, PartialEq, Eq)]
+struct Situation {
+    /// The version of the view.
+    version: u64,
+    /// Members out of reach.
+    lost: BTreeSet<Disk>,
+    /// Names of the instances that are to be emptied.
+    leaving: BTreeSet<String>,
 }
 
 struct Followed {
@@ -272,6 +99,7 @@
             told: None,
             leave: None,
             ends: VecDeque::new(),
+            situation: (Situation::default(), Instant::now()),
         }
     }
 
@@ -302,7 +130,13 @@
         let leave = leaving.contains(&self.config.name);
         self.leave = leave.then(|| self.leave.unwrap_or(now));
         let progress = self.progress();
-        let followed = self.leave.is_some() && self.followed(&view, now);
+        // Asked only where somebody is to leave, which may be this replica.
+        let surplus = view.active().count() > decide::wanted(&view);
+        if !leave && !surplus {
+            self.ends.clear();
+        }
+        let followed = (leave || surplus) && self.followed(&view, now);
+        let unchanged = self.unchanged(&view, &progress, &leaving, now);
         let sight = Sight {
             view: &view,
             disk: self.replica.disk(),
@@ -310,6 +144,7 @@
             leave: self.leave,
             leaving: &leaving,
             followed,
+            unchanged,
         };
         let proposal = decide(&self.config, &sight, now);
         if let Some(next) = proposal {
@@ -330,6 +165,26 @@
         followers.map(progress).collect()
     }
 
+    /// Since when the situation is as it is now.
+    fn unchanged(
+        &mut self,
+        view: &View,
+        progress: &HashMap<Disk, Progress>,
+        leaving: &HashSet<String>,
+        now: Instant,
+    ) -> Instant {
+        let lost = progress.iter().filter(|(_, p)| p.lost.is_some());
+        let situation = Situation {
+            version: view.version,
+            lost: lost.map(|(disk, _)| *disk).collect(),
+            leaving: leaving.iter().cloned().collect(),
+        };
+        if self.situation.0 != situation {
+            self.situation = (situation, now);
+        }
+        self.situation.1
+    }
+
     /// Whether all others that count have followed what arrived here up to a
     /// moment ago. Under load something always arrives; the newest records are
     /// on their way to all others too, from whoever wrote them.
