Read logs line by line in gradedyke explain

Cause: it held all logs in memory, and twice where they came from standard input. Change: lines are read one by one; only what requests came to is held. Bytes that are no text no longer end it.

--- a/crates/gradedyke-cli/src/explain.rs
+++ b/crates/gradedyke-cli/src/explain.rs
@@ -7,7 +7,8 @@
 //! long a plain service took. The rest of a turn's time is that of keeping it.
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::BufRead;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
 use std::path::PathBuf;
 
 use crate::{Failure, no_more};
@@ -114,12 +115,13 @@
     pairs.get(key).and_then(|v| v.parse().ok()).unwrap_or(0.0)
 }
 
-/// The requests that lines tell of, in the order of their ends.
-pub fn requests<'a>(lines: impl Iterator<Item = &'a str>) -> Vec<Request> {
+/// The requests that lines tell of, in the order of their ends. Of the lines only
+/// what they tell is held, so that logs of any length can be read.
+pub fn requests(lines: impl Iterator<Item = impl AsRef<str>>) -> Vec<Request> {
     let mut open: HashMap<String, Request> = HashMap::new();
     let mut ended = Vec::new();
     for line in lines {
-        let pairs = pairs(line);
+        let pairs = pairs(line.as_ref());
         let (Some(event), Some(id)) = (pairs.get("event"), pairs.get("request")) else {
             continue;
         };
@@ -231,24 +233,36 @@
     seconds.iter().map(line).collect()
 }
 
-/// Reads logs from files, or from standard input, and tells.
+/// The requests in logs. Bytes that are no text stand for themselves.
+fn read(logs: impl BufRead) -> io::Result<Vec<Request>> {
+    let mut failed = Ok(());
+    let lines = logs.split(b'\n').map_while(|line| match line {
+        Ok(line) => Some(String::from_utf8_lossy(&line).into_owned()),
+        Err(error) => {
+            failed = Err(error);
+            None
+        }
+    });
+    let requests = requests(lines);
+    failed.map(|()| requests)
+}
+
+/// Reads logs from a file, or from standard input, and tells.
 pub fn command(args: &mut pico_args::Arguments) -> Result<(), Failure> {
     let named: Option<String> = args.opt_value_from_str("--program")?;
     let file: Option<PathBuf> = args.opt_free_from_str()?;
     no_more(args)?;
-    let text = match file {
-        Some(file) => std::fs::read_to_string(&file).map_err(|error| {
-            Failure::Usage(format!(
-                "{}: cannot be read ({error}); check the path",
-                file.display()
-            ))
-        })?,
-        None => {
-            let lines: Result<Vec<String>, _> = std::io::stdin().lock().lines().collect();
-            lines.map_err(|e| Failure::Failed(e.into()))?.join("\n")
+    let requests = match file {
+        Some(file) => {
+            let unread = |error| {
+                let file = file.display();
+                Failure::Usage(format!("{file}: cannot be read ({error}); check the path"))
+            };
+            let opened = File::open(&file).map_err(unread)?;
+            read(BufReader::new(opened)).map_err(unread)?
         }
+        None => read(std::io::stdin().lock()).map_err(|e| Failure::Failed(e.into()))?,
     };
-    let requests = requests(text.lines());
     match named {
         Some(name) if requests.iter().all(|r| r.program != name) => Err(Failure::Usage(format!(
             "the logs have no request of program {name}; give the logs of all instances"
