Hold half as much of what was said in memory, and places in 12 bytes

Cause: keepers of the large deployment reached 79 of 120 MB, of which 24 MB are bodies and, for each record, 32 bytes of where it is. Change: 12 MB of bodies, which at that deployment's 0.74 MB a second are those of the last 16 s; a place has 12 bytes, and what the index keeps of it 16. Peak of a keeper: not measured yet. Tests: as they are.

--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -53,10 +53,27 @@
 
 /// Where a record is.
 #[derive(Clone, Copy)]
-struct Spot {
-    segment: Segment,
-    /// Where exactly, once that is known.
-    place: Option<Place>,
+enum Spot {
+    /// It is being written to this segment.
+    Coming(Segment),
+    /// It is on disk.
+    Stored(Place),
+}
+
+impl Spot {
+    fn segment(self) -> Segment {
+        match self {
+            Self::Coming(segment) => segment,
+            Self::Stored(place) => place.segment,
+        }
+    }
+
+    fn place(self) -> Option<Place> {
+        match self {
+            Self::Coming(_) => None,
+            Self::Stored(place) => Some(place),
+        }
+    }
 }
 
 /// What the records of one request say.
@@ -113,10 +130,10 @@
 /// Where in the stream of arrivals a reader stands.
 pub type Position = u64;
 
-/// Bytes of conversations that a replica holds in memory: those of the last 17 s
-/// at 1.4 MB a second, in which nearly all turns are continued; a fifth of a memory
-/// of 130 MB.
-pub const BODIES: usize = 24 << 20;
+/// Bytes of conversations that a replica holds in memory: those of the last 16 s at
+/// 0.74 MB a second, of 8 s at 1.4, in which most turns are continued; a tenth of a
+/// memory of 120 MB. What is older is read from disk.
+pub const BODIES: usize = 12 << 20;
 
 /// The state of a replica.
 pub struct Index {
@@ -163,7 +180,7 @@
     pub fn stored(&self, key: &Key) -> bool {
         let spot = self.find(&key.request);
         let spot = spot.and_then(|r| r.spots[key.kind as usize]);
-        spot.is_some_and(|s| s.place.is_some())
+        spot.is_some_and(|s| s.place().is_some())
     }
 
     fn find(&self, id: &Id) -> Option<&Request> {
@@ -218,8 +235,7 @@
                 }
             }
         }
-        let place = None;
-        self.requests[key].spots[kind as usize] = Some(Spot { segment, place });
+        self.requests[key].spots[kind as usize] = Some(Spot::Coming(segment));
         *self.live.entry(segment).or_default() += 1;
         self.arrivals.push_back((kind, key));
         true
@@ -273,9 +289,8 @@
         let Some(spot) = spot else {
             return;
         };
-        let before = std::mem::replace(&mut spot.segment, place.segment);
-        spot.place = Some(place);
-        if let Some(live) = self.live.get_mut(&before) {
+        let before = std::mem::replace(spot, Spot::Stored(place));
+        if let Some(live) = self.live.get_mut(&before.segment()) {
             *live -= 1;
         }
         *self.live.entry(place.segment).or_default() += 1;
@@ -297,7 +312,7 @@
         let requests = &self.requests;
         let stored = |key: RequestKey| {
             let spot = requests.get(key).and_then(|r| r.spots[Kind::Turn as usize]);
-            spot.is_some_and(|s| s.place.is_some())
+            spot.is_some_and(|s| s.place().is_some())
         };
         self.bodies.trim(stored);
     }
@@ -393,7 +408,7 @@
             return Some(Part::Held(body));
         }
         let spot = self.requests[key].spots[Kind::Turn as usize]?;
-        spot.place.map(Part::Stored)
+        spot.place().map(Part::Stored)
     }
 
     /// The position after the last arrival.
--- a/crates/gradedyke-turns/src/index/expire.rs
+++ b/crates/gradedyke-turns/src/index/expire.rs
@@ -81,7 +81,7 @@
     let Some(spot) = spot.take() else {
         return;
     };
-    if let Some(live) = live.get_mut(&spot.segment) {
+    if let Some(live) = live.get_mut(&spot.segment()) {
         *live -= 1;
     }
 }
--- a/crates/gradedyke-turns/src/log/mod.rs
+++ b/crates/gradedyke-turns/src/log/mod.rs
@@ -37,8 +37,8 @@
 pub struct Place {
     /// Its segment.
     pub segment: Segment,
-    /// Where it begins there, in bytes.
-    pub at: u64,
+    /// Where it begins there, in bytes; a segment ends long before four gigabytes.
+    pub at: u32,
     /// Its bytes, with length and checksum.
     pub bytes: u32,
 }
@@ -46,7 +46,7 @@
 /// Bytes after which a new segment is begun. The last segment is read whole at the
 /// start, in 17 ms from a disk of 120 MB a second; shorter ones would make more
 /// files to look in.
-const SEGMENT_BYTES: u64 = 2 << 20;
+const SEGMENT_BYTES: usize = 2 << 20;
 /// Records that may wait for the thread.
 const QUEUE: usize = 4_096;
 /// Bytes of length and checksum in front of a record.
@@ -259,8 +259,8 @@
     let whole = parse(&bytes, |body, at, length| {
         let place = Place {
             segment,
-            at: at as u64,
-            bytes: u32::try_from(length).unwrap_or(u32::MAX),
+            at: short(at),
+            bytes: short(length),
         };
         found(body, place)
     });
@@ -294,13 +294,19 @@
 
 fn read_one(folder: &Path, place: Place) -> io::Result<Record> {
     let mut file = File::open(path(folder, place.segment))?;
-    file.seek(SeekFrom::Start(place.at))?;
+    file.seek(SeekFrom::Start(place.at.into()))?;
     let mut bytes = vec![0; place.bytes as usize];
     file.read_exact(&mut bytes)?;
     let record = parse_one(&bytes).and_then(decode);
     record.ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
 }
 
+/// A length within a segment. One that does not fit is no record's, and what is read
+/// there fails its checksum.
+fn short(bytes: usize) -> u32 {
+    u32::try_from(bytes).unwrap_or(u32::MAX)
+}
+
 fn create(folder: &Path, segment: Segment) -> io::Result<File> {
     let mut options = OpenOptions::new();
     let file = options
--- a/crates/gradedyke-turns/src/log/table.rs
+++ b/crates/gradedyke-turns/src/log/table.rs
@@ -52,11 +52,9 @@
 impl Table {
     /// Notes where a record is. Call [`Table::sort`] before anything is looked up.
     pub fn add(&mut self, outline: &Outline<'_>, place: Place) {
-        // A segment ends long before four gigabytes, see `SEGMENT_BYTES`.
-        let at = u32::try_from(place.at).unwrap_or(u32::MAX);
         let entry = |name: &str| Entry {
             name: hash(name),
-            at,
+            at: place.at,
             bytes: place.bytes,
         };
         self.programs.extend(outline.program.map(entry));
@@ -187,7 +185,7 @@
     let same = entries[from..].iter().take_while(|e| e.name == name);
     let place = |entry: &Entry| Place {
         segment,
-        at: entry.at.into(),
+        at: entry.at,
         bytes: entry.bytes,
     };
     same.map(place).collect()
--- a/crates/gradedyke-turns/src/log/writer.rs
+++ b/crates/gradedyke-turns/src/log/writer.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use super::{HEAD, Outline, Place, SEGMENT_BYTES, Segment, Table, create};
+use super::{HEAD, Outline, Place, SEGMENT_BYTES, Segment, Table, create, short};
 
 /// An encoded record, and where to say where it is kept.
 pub(super) struct Wait {
@@ -19,7 +19,7 @@
 pub(super) struct Writer {
     folder: PathBuf,
     file: File,
-    bytes: u64,
+    bytes: usize,
     active: Arc<AtomicU32>,
     table: Table,
 }
@@ -55,17 +55,16 @@
     }
 
     /// Tells where each record is, from `at` on; nowhere if the write failed.
-    fn answer(&mut self, batch: Vec<Wait>, at: Option<u64>) {
+    fn answer(&mut self, batch: Vec<Wait>, at: Option<usize>) {
         let mut next = at.unwrap_or_default();
         let segment = self.active.load(Ordering::Acquire);
         for wait in batch {
-            let bytes = u32::try_from(wait.bytes.len()).unwrap_or(u32::MAX);
             let place = Place {
                 segment,
-                at: next,
-                bytes,
+                at: short(next),
+                bytes: short(wait.bytes.len()),
             };
-            next += u64::from(bytes);
+            next += wait.bytes.len();
             if let Some(outline) = Outline::read(&wait.bytes[HEAD..]) {
                 self.table.add(&outline, place);
             }
@@ -75,11 +74,11 @@
     }
 
     /// Writes and syncs records; returns where the first begins.
-    fn write(&mut self, batch: &[Wait]) -> io::Result<u64> {
+    fn write(&mut self, batch: &[Wait]) -> io::Result<usize> {
         if self.bytes > SEGMENT_BYTES {
             self.rotate()?;
         }
-        let bytes = batch.iter().map(|w| w.bytes.len()).sum();
+        let bytes: usize = batch.iter().map(|w| w.bytes.len()).sum();
         let mut joined = Vec::with_capacity(bytes);
         for wait in batch {
             joined.extend_from_slice(&wait.bytes);
@@ -87,7 +86,7 @@
         self.file.write_all(&joined)?;
         self.file.sync_data()?;
         let at = self.bytes;
-        self.bytes += bytes as u64;
+        self.bytes += bytes;
         Ok(at)
     }
 
@@ -99,7 +98,7 @@
         self.active.store(next, Ordering::Release);
         let mut table = std::mem::take(&mut self.table);
         table.sort();
-        save(&self.folder, ended, length, table);
+        save(&self.folder, ended, length as u64, table);
         Ok(())
     }
 }
--- a/crates/gradedyke-turns/tests/index.rs
+++ b/crates/gradedyke-turns/tests/index.rs
@@ -65,7 +65,7 @@
     index.conversation(&id(request))?.chain(&[])
 }
 
-fn place(segment: u32, at: u64) -> Place {
+fn place(segment: u32, at: u32) -> Place {
     Place {
         segment,
         at,
