--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -179,15 +179,18 @@
 }
 
 /// The age of a source's copy, asked until it answers; `None` for a copy that the
-/// service never confirmed.
+/// service never confirmed. Waits grow: one that resets each connection is not to
+/// be met hundreds of times a second by all others together.
 async fn age(client: &Client) -> Option<Duration> {
+    let mut wait = RETRY;
     loop {
         let reply = client.call(message::encode(&Request::Age), CALL).await;
         let reply = reply.ok().and_then(|r| message::decode(&r));
         if let Some(Reply::Age(age)) = reply {
             return age.map(Duration::from_millis);
         }
-        tokio::time::sleep(RETRY).await;
+        tokio::time::sleep(wait).await;
+        wait *= 2;
     }
 }
 
