Weigh a sample of the engines that hold nothing of a prompt

Turns that find no engine with their conversation all go to the few engines that look idle (0.02 requests there on average, 363 ms to the first event for 205 expected, 346 turns in 3 s): what entries know is as old as each other's last turn.

Ruled out: slowness (switched off: 253 late).

Change: of engines that hold nothing of a prompt eight are weighed, drawn for each request, four of them near.

Figures, model, 128 engines and 259 entries, burst of 0.9: turns of the burst 330 ms for 413, answers in its second half 4,063 for 3,305; ten engines as before. On the deployment: not measured yet.

--- a/crates/gradedyke-gateway/src/mechanism.rs
+++ b/crates/gradedyke-gateway/src/mechanism.rs
@@ -19,6 +19,8 @@
     Distance,
     /// Placement prefers servers to which a connection rests.
     Warm,
+    /// Placement looks at a sample of the servers that hold nothing of a prompt.
+    Sample,
     /// Placement weighs how slow a server is.
     Slowness,
     /// Placement weighs the share of requests that fail at a server.
--- a/crates/gradedyke-gateway/src/placement/cost.rs
+++ b/crates/gradedyke-gateway/src/placement/cost.rs
@@ -44,7 +44,39 @@
 /// What it costs that a request is lost that can be sent to another server.
 const LOST_MS: f64 = 200.0;
 
+/// Engines that hold nothing of a prompt and are weighed for it all the same. What
+/// entries know of the load is as old as the last turn of each, so that all of them see
+/// the same few idle engines and send what has to be read there together. With 128
+/// engines and 259 entries, modelled, at a burst of nine tenths of what the engines can
+/// do: turns of the burst take 330 ms with a sample of 8 and 413 with all, 317 with 4
+/// and 325 with 6; with 10 engines nothing changes.
+const SAMPLE: usize = 8;
+/// Those of them that stand in the entry's own data centre, if there are so many: the
+/// way to others costs more.
+const NEAR: usize = 4;
+
 impl Cost {
+    /// The places of the candidates that are weighed: all engines that hold some of the
+    /// prompt, and a sample of the others, another one for each request.
+    fn weighed(self, candidates: &[Candidate]) -> Vec<usize> {
+        let places = 0..candidates.len();
+        let engines = candidates.iter().all(|c| c.engine);
+        if !engines || !self.enabled.has(Mechanism::Sample) {
+            return places.collect();
+        }
+        let most = candidates.iter().map(|c| c.unread_tokens).max();
+        let holds = |place: &usize| Some(candidates[*place].unread_tokens) < most;
+        let (mut weighed, mut others): (Vec<usize>, Vec<usize>) = places.partition(holds);
+        others.sort_unstable_by_key(|place| candidates[*place].draw);
+        let near = others.iter().filter(|place| candidates[**place].near);
+        let near: Vec<usize> = near.copied().take(NEAR).collect();
+        others.retain(|place| !near.contains(place));
+        others.truncate(SAMPLE - near.len());
+        weighed.extend(near);
+        weighed.extend(others);
+        weighed
+    }
+
     /// What is expected to be lost by failures.
     fn loss(candidate: &Candidate) -> f64 {
         let loss = match (candidate.engine, candidate.repeatable) {
@@ -86,12 +118,11 @@
 impl Policy for Cost {
     fn choose(&self, candidates: &[Candidate]) -> Option<usize> {
         let key = |c: &Candidate| (self.of(c), c.draw);
-        let places = candidates.iter().enumerate();
-        let least = places.min_by(|(_, a), (_, b)| {
-            let (a, b) = (key(a), key(b));
+        let places = self.weighed(candidates).into_iter();
+        places.min_by(|a, b| {
+            let (a, b) = (key(&candidates[*a]), key(&candidates[*b]));
             a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
-        });
-        least.map(|(place, _)| place)
+        })
     }
 }
 
--- a/crates/gradedyke-gateway/tests/placement.rs
+++ b/crates/gradedyke-gateway/tests/placement.rs
@@ -76,3 +76,23 @@
         assert_eq!(got, expected, "{slowness}");
     }
 }
+
+#[test]
+fn of_many_engines_an_idle_one_gets_a_part_of_what_is_new_and_a_holder_all_that_it_holds() {
+    let policy = policies(Enabled::default()).remove("cost").unwrap();
+    let (mut idle, mut held) = (0, 0);
+    for request in 0..200_u64 {
+        let draw = |place: u64| (request * 1_000 + place).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let place = |place: u64| Candidate {
+            draw: draw(place),
+            ..engine(if place == 7 { 0 } else { 2 }, 2_000)
+        };
+        let mut engines: Vec<Candidate> = (0..100).map(place).collect();
+        idle += u32::from(policy.choose(&engines) == Some(7));
+        engines[9].unread_tokens = 200;
+        held += u32::from(policy.choose(&engines) == Some(9));
+    }
+    // Eight of a hundred are weighed; all requests would come to the idle one.
+    assert!((4..40).contains(&idle), "{idle}");
+    assert_eq!(held, 200);
+}
--- a/crates/gradedyke-model/tests/sweep.rs
+++ b/crates/gradedyke-model/tests/sweep.rs
@@ -68,6 +68,18 @@
     }
 }
 
+#[test]
+fn who_weighs_all_of_many_engines_does_less_in_a_burst() {
+    // All entries see the same few idle engines. Answers in the burst's second half:
+    // 4,063 with a sample, 3,305 without.
+    let setup = setup("many");
+    let all = policy("cost", &[Mechanism::Sample]);
+    let with = run(&setup, &policy("cost", &[]), SEED);
+    let without = run(&setup, &all, SEED);
+    assert!(ended(&with) > ended(&without) * 1.1);
+    assert!(with.mean_ms(4..8) < without.mean_ms(4..8) * 0.9);
+}
+
 #[test]
 fn the_same_seed_gives_the_same_run() {
     let setup = setup("ten");
