--- a/crates/gradedyke-turns/src/log/mod.rs
+++ b/crates/gradedyke-turns/src/log/mod.rs
@@ -17,7 +17,8 @@
 mod writer;
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Seek, SeekFrom};
+use std::io;
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -207,14 +208,23 @@
         }
     }
 
-    /// Reads records back. It waits for the disk.
+    /// Reads records back. It waits for the disk. Each segment is opened once for
+    /// those that follow each other in it: what is read together, a conversation, lies
+    /// in few segments.
     ///
     /// # Errors
     ///
     /// [`Error::Read`] when one is not there whole.
     pub fn read(&self, places: &[Place]) -> Result<Vec<Record>, Error> {
-        let one = |place: &Place| read_one(&self.folder, *place).map_err(Error::Read);
-        places.iter().map(one).collect()
+        let mut records = Vec::with_capacity(places.len());
+        for together in places.chunk_by(|a, b| a.segment == b.segment) {
+            let segment = path(&self.folder, together[0].segment);
+            let file = File::open(segment).map_err(Error::Read)?;
+            for place in together {
+                records.push(read_one(&file, *place).map_err(Error::Read)?);
+            }
+        }
+        Ok(records)
     }
 
     /// Reads all records of a segment, in the order they were written. It waits for
@@ -292,11 +302,9 @@
     Ok(Some(table))
 }
 
-fn read_one(folder: &Path, place: Place) -> io::Result<Record> {
-    let mut file = File::open(path(folder, place.segment))?;
-    file.seek(SeekFrom::Start(place.at.into()))?;
+fn read_one(file: &File, place: Place) -> io::Result<Record> {
     let mut bytes = vec![0; place.bytes as usize];
-    file.read_exact(&mut bytes)?;
+    file.read_exact_at(&mut bytes, place.at.into())?;
     let record = parse_one(&bytes).and_then(decode);
     record.ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
 }
