--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -115,6 +115,19 @@
     around: AtomicBool,
 }
 
+impl Answers {
+    /// Takes no more answers. The load that came meanwhile is kept, that of later ones by
+    /// whoever brings them.
+    fn leave(&mut self, late: &Late) {
+        self.receiver.close();
+        while let Ok((_, reply)) = self.receiver.try_recv() {
+            if let Some(Reply::Began { load, .. }) = reply {
+                late.put(load);
+            }
+        }
+    }
+}
+
 /// Load that was told too late for the attempt that asked; the next one takes it. The
 /// nearest replica tells it, and that is the last to answer at times.
 #[derive(Default)]
@@ -372,6 +385,7 @@
                 patience = Some(end.min(Instant::now() + PATIENCE));
             }
         }
+        answers.leave(&self.late);
         Some(self.conclude(gathered, ask, answers.asked).await)
     }
 
