--- a/crates/gradedyke-peer/tests/calls.rs
+++ b/crates/gradedyke-peer/tests/calls.rs
@@ -125,15 +125,28 @@
     (listener, waiting)
 }
 
+/// Waits until the system has an opening packet to this port without an answer: state
+/// 02 of a connection to it.
+async fn until_opening(port: u16) {
+    let to = format!("0100007F:{port:04X} 02");
+    while !std::fs::read_to_string("/proc/net/tcp")
+        .unwrap()
+        .contains(&to)
+    {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[tokio::test]
 async fn a_peer_that_comes_up_is_met_though_the_opening_packet_was_lost() {
     // How soon it comes up is not certain on a busy machine; with one packet for
     // a call it fails each time.
     for _ in 0..20 {
         let (listener, _waiting) = full().await;
-        let client = Client::new(listener.local_addr().unwrap());
+        let address = listener.local_addr().unwrap();
+        let client = Client::new(address);
         let call = tokio::spawn(async move { client.call("hello".into(), LONG).await });
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        until_opening(address.port()).await;
         let (_gate, stop) = start(listener).await;
         let reply = call.await.unwrap();
         stop.cancel();
--- a/crates/gradedyke-turns/src/archive.rs
+++ b/crates/gradedyke-turns/src/archive.rs
@@ -48,9 +48,13 @@
         self.tables.last().map(|(segment, _)| *segment)
     }
 
-    /// Forgets a segment whose records have all been taken in.
+    /// Forgets a segment whose records have all been taken in, and with the last one
+    /// what was asked for meanwhile.
     pub fn remove(&mut self, segment: Segment) {
         self.tables.retain(|(s, _)| *s != segment);
+        if self.tables.is_empty() {
+            self.taken = HashSet::new();
+        }
     }
 
     /// Notes that all records of a program have been taken in.
--- a/crates/gradedyke-turns/tests/feed.rs
+++ b/crates/gradedyke-turns/tests/feed.rs
@@ -1,7 +1,6 @@
 //! How a process comes by its first news.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use gradedyke_turns::desk::Desk;
 use gradedyke_turns::feed::{self, ENTRY_START, Health};
@@ -9,7 +8,7 @@
 use gradedyke_turns::quorum::Quorum;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -25,10 +24,13 @@
     mirror
 }
 
-/// Takes one connection and says nothing; ends when the other side gives it up.
-async fn silent(listener: TcpListener) {
+/// Takes one connection and says nothing but here that it was asked; ends when the
+/// other side gives it up.
+async fn silent(listener: TcpListener, asked: oneshot::Sender<()>) {
     let (mut connection, _) = listener.accept().await.unwrap();
     let mut bytes = [0; 64];
+    assert!(connection.read(&mut bytes).await.is_ok_and(|n| n > 0));
+    asked.send(()).unwrap();
     while connection.read(&mut bytes).await.is_ok_and(|n| n > 0) {}
 }
 
@@ -39,7 +41,8 @@
     let socket = TcpSocket::new_v4().unwrap();
     socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let late = socket.local_addr().unwrap();
-    let sources = vec![mute.local_addr().unwrap(), late];
+    // The later source is asked after the first, so that one has refused by then.
+    let sources = vec![late, mute.local_addr().unwrap()];
 
     let stop = CancellationToken::new();
     let mirror = Mirror::new(&[""]);
@@ -53,9 +56,10 @@
         move || sources.clone(),
         stopped,
     ));
-    let given_up = tokio::spawn(silent(mute));
+    let (asked, was_asked) = oneshot::channel();
+    let given_up = tokio::spawn(silent(mute, asked));
 
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    was_asked.await.unwrap();
     let (_, nobody) = watch::channel(None);
     let desk = Arc::new(Desk::new(holding(), nobody));
     let listener = socket.listen(16).unwrap();
