--- a/crates/gradedyke-gateway/src/config.rs
+++ b/crates/gradedyke-gateway/src/config.rs
@@ -6,6 +6,8 @@
 
 use gradedyke_turns::record::Id;
 
+use crate::account::Directory;
+
 /// What repeating a request may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -63,6 +65,8 @@
     /// Whether a stream that broke off may go on at another server, behind the last
     /// event that came.
     pub resumable: bool,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 /// A model engine's figures.
@@ -111,11 +115,19 @@
     pub services: HashMap<String, Service>,
     /// Limits on callers.
     pub limits: Limits,
+    /// The client accounts, if callers need keys.
+    pub accounts: Option<Directory>,
 }
 
 impl Config {
     /// A configuration of these parts.
-    pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        limits: Limits,
+        accounts: Option<Directory>,
+    ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -130,6 +142,7 @@
             routes: by_host,
             services: services.into_iter().map(named).collect(),
             limits,
+            accounts,
         }
     }
 
--- a/crates/gradedyke-gateway/src/dialect.rs
+++ b/crates/gradedyke-gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 use gradedyke_turns::record::Id;
 use http::{HeaderMap, StatusCode};
 
+use crate::account::{Account, Key};
 use crate::config::Config;
 use crate::fleet::Server;
 use crate::prefix::Part;
@@ -34,6 +35,8 @@
     pub parent: Option<Id>,
     /// The parts of its prompt, in order; those shared by many come first.
     pub parts: Vec<Part>,
+    /// The caller's key.
+    pub key: Option<Key>,
 }
 
 /// Sizes of a model call, in tokens.
@@ -54,6 +57,8 @@
     pub left: Duration,
     /// Rank at the server; 0 is first.
     pub urgency: Option<u8>,
+    /// The client account whose request it is.
+    pub account: Option<&'a Account>,
     /// The event behind which a stream goes on.
     pub after: Option<&'a [u8]>,
 }
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -174,6 +174,7 @@
         server: &choice.id,
         left,
         urgency: urgency(entry, call),
+        account: call.account.as_deref(),
         after,
     };
     let mut request = Request::new(Full::new(body));
@@ -200,7 +201,8 @@
 /// The rank that an engine is told.
 fn urgency(entry: &Entry, call: &Call) -> Option<u8> {
     let ranked = call.engine().is_some() && entry.enabled.has(Mechanism::Urgency);
-    ranked.then_some(call.route.priority)
+    let account = call.account.as_ref().and_then(|a| a.rank);
+    ranked.then_some(account.unwrap_or(call.route.priority))
 }
 
 /// What came of waiting for the head of an answer.
--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
+use crate::account::Account;
 use crate::config::{Config, Route};
 use crate::dialect::Meta;
 
@@ -27,6 +28,8 @@
     pub route: Arc<Route>,
     /// The service that runs it.
     pub service: String,
+    /// Whose it is; nobody's on routes that need no key.
+    pub account: Option<Arc<Account>>,
     /// What the caller says of it.
     pub meta: Meta,
     /// Its method.
@@ -44,6 +47,14 @@
 }
 
 impl Call {
+    /// The name under which is kept what the caller calls `id`.
+    pub fn scope(&self, id: &Id) -> Id {
+        match &self.account {
+            Some(account) => account.scope(id),
+            None => id.clone(),
+        }
+    }
+
     /// Time left.
     pub fn left(&self, now: Instant) -> Duration {
         self.until.saturating_duration_since(now)
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -15,7 +15,7 @@
 mod source;
 pub mod turn;
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -30,6 +30,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::account::Account;
 use crate::config::{Config, Kind, Route};
 use crate::dialect::{Dialect, Meta};
 use crate::fleet::Fleet;
@@ -45,6 +46,21 @@
 /// a caller has.
 const START: Duration = Duration::from_millis(1_000);
 
+/// Age of what an entry knows above which it does not deny a key that it does not find:
+/// news are up to 2.0 s old by the way they take (two waits of 0.7 s at the platform's
+/// service, two of 0.3 s at keepers), and a key holds 2 s or more after it was given out.
+const RECENT: Duration = Duration::from_secs(2);
+
+/// Share of the time in which a withdrawn key must be without effect for which it may be
+/// used unconfirmed. The rest is for clocks that run at other speeds.
+const UNCONFIRMED: f64 = 0.9;
+
+/// For how long a key may be used unconfirmed where a withdrawn one must be without
+/// effect after `revocation`.
+pub fn confirmation(revocation: Duration) -> Duration {
+    revocation.mul_f64(UNCONFIRMED)
+}
+
 /// The entry role of one process.
 pub struct Entry {
     /// How the outside spells things.
@@ -62,7 +78,10 @@
     /// Cancelled when the process begins to stop.
     pub drain: CancellationToken,
     /// The revision of the configuration that was read last.
-    pub configured: AtomicU64,
+    pub configured: Mutex<u64>,
+    /// For how long a key may be used without the platform's service confirming that
+    /// it still holds; `None` where keys need not be confirmed.
+    pub confirmation: Option<Duration>,
     /// Up to where the fleet has taken the mirror in.
     pub applied: Mutex<u64>,
     /// Requests in progress.
@@ -82,7 +101,37 @@
     /// Whether callers may come here.
     pub fn ready(&self) -> bool {
         let started = self.config.load().is_some() && self.fleet.listed() > 0;
-        started && !self.drain.is_cancelled() && self.quorum.reachable()
+        let drains = self.drain.is_cancelled();
+        started && !drains && self.quorum.reachable() && self.confirmed(Instant::now())
+    }
+
+    /// Whether a key that is in force here certainly was so for whoever sent a request
+    /// that arrived at `arrived`. A key may be withdrawn while this entry is cut off; the
+    /// age of what it knows tells, counted from when the question was sent that the
+    /// platform's service answered, so that no delay on the way makes it look younger.
+    fn confirmed(&self, arrived: Instant) -> bool {
+        let Some(bound) = self.confirmation else {
+            return true;
+        };
+        let keys = self
+            .config
+            .load()
+            .as_ref()
+            .is_some_and(|c| c.accounts.is_some());
+        !keys || self.age(arrived).is_some_and(|age| age <= bound)
+    }
+
+    /// How old what this entry knows may be for a request that arrived at `arrived`.
+    fn age(&self, arrived: Instant) -> Option<Duration> {
+        let vouched = self.mirror.vouched()?;
+        Some(arrived.saturating_duration_since(vouched))
+    }
+
+    /// The configuration that the mirror holds now: what it knows of keys is to be as
+    /// young as the mirror itself.
+    fn latest(&self) -> Option<Arc<Config>> {
+        self.configure();
+        self.config.load_full()
     }
 
     /// Brings configuration and fleet in line with the mirror.
@@ -96,16 +145,22 @@
         *applied = next;
     }
 
-    /// Puts the configuration of the mirror in force, if it is a later one.
+    /// Puts the configuration of the mirror in force, if it is a later one. It is in
+    /// force at the return, whoever read it.
     fn configure(&self) {
+        let mut configured = self
+            .configured
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let Some((value, revision)) = self.mirror.get(self.dialect.config_key()) else {
             return;
         };
         // Other keys change far more often, and a large configuration takes a
         // while to read.
-        if self.configured.fetch_max(revision, Ordering::Relaxed) >= revision {
+        if *configured >= revision {
             return;
         }
+        *configured = revision;
         match self.dialect.config(&value) {
             Ok(config) => self.adopt(config, revision),
             Err(error) => tracing::warn!(event = "config_not_read", revision, %error),
@@ -188,6 +243,27 @@
         }
     }
 
+    /// The account whose key a request carries.
+    fn holder(
+        &self,
+        config: &Config,
+        route: &Route,
+        meta: &Meta,
+        arrived: Instant,
+    ) -> Result<Option<Arc<Account>>, Refusal> {
+        let Some(accounts) = &config.accounts else {
+            return Ok(None);
+        };
+        match meta.key.and_then(|key| accounts.holder(key)) {
+            Some(account) if self.confirmed(arrived) => Ok(Some(account.clone())),
+            Some(_) => Err(Refusal::Unconfirmed),
+            None if route.public => Ok(None),
+            // It may have been given out since.
+            None if self.age(arrived).is_none_or(|age| age > RECENT) => Err(Refusal::Unconfirmed),
+            None => Err(Refusal::Unauthorized),
+        }
+    }
+
     /// Routes a request and reads its body.
     async fn read(
         &self,
@@ -196,11 +272,13 @@
         arrived: Instant,
     ) -> Result<Call, Refusal> {
         let config = self.started(arrived).await.ok_or(Refusal::NotStarted)?;
+        let config = self.latest().unwrap_or(config);
         let (head, incoming) = request.into_parts();
         let host = head.headers.get(header::HOST);
         let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
         let route = config.route(host, head.uri.path());
         let route: Arc<Route> = route.ok_or(Refusal::NoRoute)?.clone();
+        let account = self.holder(&config, &route, &meta, arrived)?;
         let id = meta.request.clone().ok_or(Refusal::Malformed)?;
         let allowed = meta.deadline.unwrap_or(DEADLINE).min(route.timeout);
         let until = arrived + allowed;
@@ -220,6 +298,7 @@
             config,
             route,
             service,
+            account,
             meta,
             method: head.method,
             uri: head.uri,
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -14,6 +14,10 @@
     NotStarted,
     /// No route fits.
     NoRoute,
+    /// The key is missing, or no account holds it.
+    Unauthorized,
+    /// Whether the key still holds has not been confirmed lately; it has not run.
+    Unconfirmed,
     /// The request is not well formed.
     Malformed,
     /// The body is larger than allowed.
@@ -54,6 +58,8 @@
         match self {
             Refusal::NotStarted => "not_started",
             Refusal::NoRoute => "no_route",
+            Refusal::Unauthorized => "unauthorized",
+            Refusal::Unconfirmed => "unconfirmed",
             Refusal::Malformed => "malformed",
             Refusal::TooLarge => "too_large",
             Refusal::NoServer => "no_server",
@@ -70,12 +76,14 @@
     fn status(self) -> StatusCode {
         match self {
             Refusal::NoRoute | Refusal::NoTurn => StatusCode::NOT_FOUND,
+            Refusal::Unauthorized => StatusCode::UNAUTHORIZED,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Spent => StatusCode::PAYMENT_REQUIRED,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::NotStarted
+            | Refusal::Unconfirmed
             | Refusal::NoServer
             | Refusal::Full
             | Refusal::NoKeepers
@@ -100,7 +108,7 @@
         let wait = match self {
             Refusal::NotStarted => STARTING,
             Refusal::Full => drain.clamp(SOON, LONGEST),
-            Refusal::NoServer | Refusal::NoKeepers => SOON,
+            Refusal::NoServer | Refusal::NoKeepers | Refusal::Unconfirmed => SOON,
             _ => return None,
         };
         let spread = SPREAD.start + (SPREAD.end - SPREAD.start) * draw;
@@ -111,6 +119,10 @@
         match self {
             Refusal::NotStarted => "no configuration is known yet; come back soon",
             Refusal::NoRoute => "no route for this host and path; correct them",
+            Refusal::Unauthorized => {
+                "the key is missing or not known; send a key of your client account"
+            }
+            Refusal::Unconfirmed => "the key cannot be checked here now; come back soon",
             Refusal::Malformed => "the request is not well formed; correct its headers or body",
             Refusal::TooLarge => "the body is larger than allowed; send less",
             Refusal::NoServer => "no backend server is available; come back soon",
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -328,8 +328,8 @@
             return true;
         };
         let record = Record::Turn(Turn {
-            request: self.call.id.clone(),
-            parent: self.call.meta.parent.clone(),
+            request: self.call.scope(&self.call.id),
+            parent: self.call.meta.parent.as_ref().map(|p| self.call.scope(p)),
             input: self.call.body.clone(),
             output: self.output.split().freeze(),
             server: self.choice.id.clone(),
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -65,7 +65,8 @@
 async fn begin(entry: &Arc<Entry>, call: &Call) -> Result<(Option<Chain>, Ledger), Refusal> {
     let reserve = reserve(call);
     let ledger = Ledger::new(reserve.as_ref().map(|(r, _)| r.clone()));
-    let parent = call.route.retention.and(call.meta.parent.clone());
+    let parent = call.route.retention.and(call.meta.parent.as_ref());
+    let parent = parent.map(|p| call.scope(p));
     let ask = Ask {
         reserve,
         parent,
@@ -104,10 +105,10 @@
 /// What an attempt reserves, with the whole budget.
 fn reserve(call: &Call) -> Option<(Reserved, u64)> {
     let budget = call.meta.budget?;
-    let program = call.meta.program.clone()?;
+    let program = call.scope(call.meta.program.as_ref()?);
     let reserved = Reserved {
         program,
-        request: call.id.clone(),
+        request: call.scope(&call.id),
         tokens: call.meta.usage.map_or(0, |u| u.answer),
         keep_ms: keep_ms(call),
     };
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //! traits of [`dialect`]; nothing here knows a header or a key by name.
 //!
 //! - [`dialect`]: the border towards the outside, in this project's types.
-//! - [`config`]: routes and services as the operator sets them.
+//! - [`config`]: routes and services as the operator sets them; [`account`]: client
+//!   accounts and their keys.
 //! - [`settings`]: settings of one process.
 //! - [`fleet`]: the backend servers; [`health`]: what is learned of one of them;
 //!   [`prefix`]: what it holds of prompts; [`estimate`]: usual times;
@@ -23,6 +24,7 @@
 //! - [`entry`]: requests from their head to their last byte.
 //! - [`process`]: a process from start to stop.
 
+pub mod account;
 pub mod config;
 pub mod dialect;
 pub mod entry;
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -1,7 +1,7 @@
 //! A process from its start to its stop.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
-use crate::entry::{Door, Entry, Readiness};
+use crate::entry::{self, Door, Entry, Readiness};
 use crate::fleet::Fleet;
 use crate::mechanism::Enabled;
 use crate::settings::Settings;
@@ -142,7 +142,8 @@
             quorum: quorum.clone(),
             enabled,
             drain: CancellationToken::new(),
-            configured: AtomicU64::new(0),
+            configured: Mutex::new(0),
+            confirmation: settings.revocation().map(entry::confirmation),
             applied: Mutex::new(0),
             active: AtomicUsize::new(0),
         });
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -65,6 +65,10 @@
     /// in milliseconds.
     #[serde(default = "drain_ms")]
     pub drain_ms: u64,
+    /// Time after which a key that was withdrawn has no effect at any entry, also one that
+    /// is cut off, in milliseconds. Without it a key holds until the entry hears of it.
+    #[serde(default)]
+    pub revocation_ms: Option<u64>,
     /// How an entry decides.
     #[serde(default)]
     pub decisions: Decisions,
@@ -107,6 +111,10 @@
 /// Shortest time to stop in: the balancer notices within two seconds.
 const SHORTEST_GRACE_S: f64 = 1.0;
 
+/// Shortest time for a withdrawn key, in milliseconds: what an entry knows is up to 2.0 s
+/// old by the way that news take, and nothing could run otherwise.
+const SHORTEST_REVOCATION_MS: u64 = 3_000;
+
 impl Settings {
     /// Reads and checks the settings in `text`, which came from `file`.
     ///
@@ -134,6 +142,15 @@
         if settings.grace_s < SHORTEST_GRACE_S {
             return Err(source.error("grace_s", "too short to stop in; give 1 or more"));
         }
+        if settings
+            .revocation_ms
+            .is_some_and(|ms| ms < SHORTEST_REVOCATION_MS)
+        {
+            return Err(source.error(
+                "revocation_ms",
+                "shorter than news take to an entry; give 3000 or more",
+            ));
+        }
         let policies = placement::policies(Enabled::default());
         if !policies.contains_key(settings.decisions.placement.as_str()) {
             let names: Vec<&str> = policies.into_keys().collect();
@@ -143,6 +160,11 @@
         Ok(settings)
     }
 
+    /// Time after which a withdrawn key has no effect at any entry.
+    pub fn revocation(&self) -> Option<Duration> {
+        self.revocation_ms.map(Duration::from_millis)
+    }
+
     /// Time from a request to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -265,6 +265,7 @@
             wait_ms,
             address: quorum.own(),
         };
+        let asked = Instant::now();
         let reply = client.call(message::encode(&request), CALL).await;
         let Ok(reply) = reply else {
             return Left::Silent;
@@ -275,7 +276,7 @@
         let age = news.age_ms.map(Duration::from_millis);
         *joined.position = (news.boot, news.next);
         let now = Instant::now();
-        mirror.learn(news, now);
+        mirror.learn(news, asked, now);
         if !std::mem::replace(&mut joined.told, true) {
             tracing::info!(event = "feed_joined", %source, age = ?age);
         }
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -61,6 +61,9 @@
     pub whole: Option<Revision>,
     /// Milliseconds since the service last confirmed all this; none if never.
     pub age_ms: Option<u64>,
+    /// Milliseconds since the question to the service was sent that this answers, at
+    /// most; none if it never was.
+    pub asked_ms: Option<u64>,
     /// Milliseconds for which the service has answered without a break.
     pub steady_ms: u64,
     /// Some entries that run.
@@ -74,13 +77,24 @@
     learned: Instant,
 }
 
+/// How far a prefix is known.
+#[derive(Clone, Copy, Debug, Default)]
+struct Through {
+    /// Through which revision.
+    revision: Revision,
+    /// When the service last confirmed that.
+    confirmed: Option<Instant>,
+    /// When the question was sent that it confirmed it to: what the service had taken
+    /// by then is known.
+    asked: Option<Instant>,
+}
+
 #[derive(Default)]
 struct State {
     items: BTreeMap<String, Held>,
     change: u64,
-    /// Of each prefix that was listed: through which revision it is known, and
-    /// when the service last confirmed that.
-    through: HashMap<String, (Revision, Option<Instant>)>,
+    /// Of each prefix that was listed.
+    through: HashMap<String, Through>,
     steady: Option<Instant>,
     neighbours: Vec<SocketAddr>,
 }
@@ -158,6 +172,12 @@
         Some(now.saturating_duration_since(confirmed))
     }
 
+    /// A moment up to which all that the service had taken is in the copy: when the
+    /// question was sent that was answered last, wherever that was. `None` before that.
+    pub fn vouched(&self) -> Option<Instant> {
+        self.lock().least(&self.prefixes, |t| t.asked)
+    }
+
     /// Some entries that run, as last told.
     pub fn neighbours(&self) -> Vec<SocketAddr> {
         self.lock().neighbours.clone()
@@ -193,10 +213,11 @@
         }
     }
 
-    /// Notes that the service confirmed the copy of a prefix at `now`.
-    fn confirm(&self, prefix: &str, now: Instant) {
+    /// Notes that the service confirmed the copy of a prefix at `now`, to a question
+    /// that was sent at `asked`.
+    fn confirm(&self, prefix: &str, asked: Instant, now: Instant) {
         let mut state = self.lock();
-        state.confirm(prefix, Some(now));
+        state.confirm(prefix, Some(asked), Some(now));
         state.steady.get_or_insert(now);
     }
 
@@ -211,7 +232,7 @@
         let known = boot == self.boot;
         let since = if known { since } else { 0 };
         let through = self.prefixes.iter();
-        let through = through.map(|p| state.through.get(p).map(|(revision, _)| *revision));
+        let through = through.map(|p| state.through.get(p).map(|t| t.revision));
         let complete = through.min().flatten();
         let fresh = state.items.values().filter(|h| h.change > since);
         let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
@@ -222,13 +243,18 @@
             items: fresh.map(|h| h.item.clone()).collect(),
             whole: complete.filter(|_| !known),
             age_ms: state.confirmed(&self.prefixes).map(past),
+            // A part of a millisecond counts as a whole one.
+            asked_ms: state
+                .least(&self.prefixes, |t| t.asked)
+                .map(|at| past(at) + 1),
             steady_ms: state.steady.map(past).unwrap_or_default(),
             neighbours: Vec::new(),
         }
     }
 
-    /// Takes in what another process knows.
-    pub fn learn(&self, news: News, now: Instant) {
+    /// Takes in at `now` what another process answered to a question that was sent at
+    /// `asked`.
+    pub fn learn(&self, news: News, asked: Instant, now: Instant) {
         let mut state = self.lock();
         let mut fresh = false;
         match news.whole {
@@ -250,8 +276,12 @@
         }
         if let Some(age) = news.age_ms {
             let confirmed = now.checked_sub(Duration::from_millis(age));
+            // The answer may have lain here unread while this process was stopped, so
+            // its age counts from the question on.
+            let before = |ms| asked.checked_sub(Duration::from_millis(ms));
+            let asked = news.asked_ms.and_then(before);
             for prefix in &self.prefixes {
-                state.confirm(prefix, confirmed);
+                state.confirm(prefix, asked, confirmed);
             }
             state.steady = now.checked_sub(Duration::from_millis(news.steady_ms));
         }
@@ -262,13 +292,23 @@
 impl State {
     /// When all prefixes were last confirmed.
     fn confirmed(&self, prefixes: &[String]) -> Option<Instant> {
-        let each = prefixes.iter().map(|p| self.through.get(p)?.1);
+        self.least(prefixes, |t| t.confirmed)
+    }
+
+    /// The earliest of a time over all prefixes.
+    fn least(
+        &self,
+        prefixes: &[String],
+        time: impl Fn(&Through) -> Option<Instant>,
+    ) -> Option<Instant> {
+        let each = prefixes.iter().map(|p| time(self.through.get(p)?));
         each.min().flatten()
     }
 
-    fn confirm(&mut self, prefix: &str, at: Option<Instant>) {
-        if let Some((_, confirmed)) = self.through.get_mut(prefix) {
-            *confirmed = at.max(*confirmed);
+    fn confirm(&mut self, prefix: &str, asked: Option<Instant>, at: Option<Instant>) {
+        if let Some(through) = self.through.get_mut(prefix) {
+            through.confirmed = at.max(through.confirmed);
+            through.asked = asked.max(through.asked);
         }
     }
 
@@ -329,7 +369,7 @@
             fresh |= self.put(item, now);
         }
         let through = self.through.entry(prefix.to_owned()).or_default();
-        through.0 = revision.max(through.0);
+        through.revision = revision.max(through.revision);
         fresh
     }
 }
@@ -382,11 +422,12 @@
     wanted: &impl Fn() -> bool,
     wait: &mut Duration,
 ) -> Result<(), gradedyke_platform::kv::Error> {
+    let asked = Instant::now();
     let listing = kv.list(prefix).await?;
     let items = listing.entries.into_iter().map(Item::from);
     let now = Instant::now();
     mirror.replace(prefix, items.collect(), listing.revision, now);
-    mirror.confirm(prefix, now);
+    mirror.confirm(prefix, asked, now);
     tracing::info!(
         event = "platform_regained",
         prefix,
@@ -394,12 +435,13 @@
     );
     let mut watch = kv.watch(prefix, listing.revision + 1).await?;
     while wanted() {
+        let asked = Instant::now();
         let events = watch.next().await?;
         *wait = RETRY_FIRST;
         let now = Instant::now();
         let changed = !events.is_empty();
         mirror.put(events.into_iter().map(item).collect(), now);
-        mirror.confirm(prefix, now);
+        mirror.confirm(prefix, asked, now);
         if changed {
             tokio::time::sleep(GATHER).await;
         }
--- a/crates/gradedyke-turns/src/record.rs
+++ b/crates/gradedyke-turns/src/record.rs
@@ -30,6 +30,22 @@
         (usable && graphic).then(|| Self(text.into()))
     }
 
+    /// This name within the names of `scope`: equal only for the same name in the same
+    /// scope, and never equal to a name that was parsed.
+    ///
+    /// ```
+    /// use gradedyke_turns::record::Id;
+    ///
+    /// let id = |text| Id::parse(text).unwrap();
+    /// assert_ne!(id("t").within(&id("a")), id("t").within(&id("b")));
+    /// assert_eq!(Id::parse(id("t").within(&id("a")).as_str()), None);
+    /// ```
+    #[must_use]
+    pub fn within(&self, scope: &Id) -> Self {
+        // No name that was parsed holds a space.
+        Self(format!("{} {}", scope.0, self.0).into())
+    }
+
     /// The name as text.
     pub fn as_str(&self) -> &str {
         &self.0
--- /dev/null
+++ b/crates/gradedyke-turns/tests/mirror.rs
@@ -0,0 +1,55 @@
+//! How old what a copy says may be.
+
+use std::time::Duration;
+
+use gradedyke_turns::mirror::{Mirror, News};
+use tokio::time::Instant;
+
+fn news(asked_ms: Option<u64>) -> News {
+    News {
+        whole: Some(7),
+        age_ms: Some(20),
+        asked_ms,
+        ..News::default()
+    }
+}
+
+#[tokio::test]
+async fn what_lay_here_unread_is_as_old_as_the_question() {
+    let asked = Instant::now();
+    let mirror = Mirror::new(&[""]);
+    assert_eq!(mirror.vouched(), None);
+    // The process was stopped for 10 s between the question and the answer.
+    let read = asked + Duration::from_secs(10);
+    mirror.learn(news(Some(300)), asked, read);
+    assert_eq!(
+        mirror.vouched(),
+        asked.checked_sub(Duration::from_millis(300))
+    );
+    assert_eq!(mirror.age(read), Some(Duration::from_millis(20)));
+}
+
+#[tokio::test]
+async fn a_copy_from_a_disk_vouches_for_nothing() {
+    let now = Instant::now();
+    let mirror = Mirror::new(&[""]);
+    mirror.learn(news(None), now, now);
+    assert_eq!(mirror.vouched(), None);
+    assert_eq!(mirror.news(0, 0, now).asked_ms, None);
+}
+
+#[tokio::test]
+async fn the_age_grows_with_each_hop() {
+    let start = Instant::now();
+    let (first, second) = (Mirror::new(&[""]), Mirror::new(&[""]));
+    first.learn(news(Some(300)), start, start);
+    // The second asks 50 ms later, and the first answers 100 ms after that.
+    let asked = start + Duration::from_millis(50);
+    let answered = asked + Duration::from_millis(100);
+    let told = first.news(0, 0, answered);
+    assert_eq!(told.asked_ms, Some(451));
+    second.learn(told, asked, answered + Duration::from_millis(5));
+    let vouched = second.vouched().unwrap();
+    assert!(vouched <= first.vouched().unwrap());
+    assert_eq!(answered - vouched, Duration::from_millis(551));
+}
