--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::account::Account;
+use crate::allowance::Counted;
 use crate::config::{Config, Route};
 use crate::dialect::Meta;
 
@@ -30,6 +31,8 @@
     pub service: String,
     /// Whose it is; nobody's on routes that need no key.
     pub account: Option<Arc<Account>>,
+    /// How it was counted, if its account is limited.
+    pub counted: Option<Counted>,
     /// What the caller says of it.
     pub meta: Meta,
     /// Its method.
@@ -55,6 +58,11 @@
         }
     }
 
+    /// Whether it begins a program: the first turn of a conversation that is kept.
+    pub fn begins(route: &Route, meta: &Meta) -> bool {
+        route.retention.is_some() && meta.parent.is_none()
+    }
+
     /// Time left.
     pub fn left(&self, now: Instant) -> Duration {
         self.until.saturating_duration_since(now)
--- a/crates/gradedyke-gateway/src/entry/ledger.rs
+++ b/crates/gradedyke-gateway/src/entry/ledger.rs
@@ -45,7 +45,7 @@
                 keep_ms: reserved.keep_ms,
             });
             let until = Instant::now() + SETTLE;
-            if let Err(error) = entry.quorum.keep(&record, until).await {
+            if let Err(error) = entry.quorum.keep(&record, None, until).await {
                 // It stays reserved, which only makes the budget smaller.
                 tracing::warn!(event = "not_settled", request = %reserved.request, %error);
             }
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -1,11 +1,13 @@
 //! Requests from their head to their last byte.
 //!
 //! - [`call`]: a request that was read and routed.
-//! - [`attempt`]: one sending to one server.
+//! - `admission`: whether its account may have it run; [`attempt`]: one sending to one
+//!   server.
 //! - [`plain`]: answers that are read whole; [`turn`]: streams and turns. `source` has
 //!   servers run them, `relay` passes their events on, `ledger` tells what they used.
 //! - [`refusal`]: answers of the gateway's own.
 
+mod admission;
 pub mod attempt;
 pub mod call;
 mod ledger;
@@ -31,7 +33,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::account::Account;
+use crate::allowance::Register;
 use crate::config::{Config, Kind, Route};
+use crate::demand::Demand;
 use crate::dialect::{Dialect, Meta};
 use crate::fleet::Fleet;
 use crate::mechanism::Enabled;
@@ -73,6 +77,10 @@
     pub fleet: Arc<Fleet>,
     /// The keepers.
     pub quorum: Arc<Quorum>,
+    /// What client accounts had let through here.
+    pub register: Register,
+    /// How many requests programs need.
+    pub demand: Demand,
     /// The mechanisms that are on.
     pub enabled: Enabled,
     /// Cancelled when the process begins to stop.
@@ -203,13 +211,13 @@
         let refused = call.clone();
         let served = match call.route.kind {
             Kind::Stream => turn::serve(self, call).await,
-            Kind::Idempotent | Kind::Once => {
-                let served = plain::serve(self, call.clone());
-                // An answer that comes in the last moment is still wanted.
-                let served = tokio::time::timeout_at(call.until, served).await;
-                served.unwrap_or(Err(Refusal::TimedOut))
-            }
+            Kind::Idempotent | Kind::Once => self.plain(call).await,
         };
+        if let (Err(refusal), Some(counted)) = (&served, &refused.counted)
+            && refusal.unrun()
+        {
+            self.register.undo(counted);
+        }
         served.map_err(|refusal| Refused {
             refusal,
             meta,
@@ -217,6 +225,14 @@
         })
     }
 
+    async fn plain(self: &Arc<Self>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
+        self.allow(&call).await?;
+        let served = plain::serve(self, call.clone());
+        // An answer that comes in the last moment is still wanted.
+        let served = tokio::time::timeout_at(call.until, served).await;
+        served.unwrap_or(Err(Refusal::TimedOut))
+    }
+
     /// In how long a server of the call's service is expected to have a place.
     fn drained(&self, call: &Call) -> Duration {
         let engine = call.engine().is_some();
@@ -293,12 +309,14 @@
         })?;
         let named = meta.session.as_ref().or(meta.program.as_ref());
         let service = route.target(named).ok_or(Refusal::NoServer)?.to_owned();
+        let counted = self.count(account.as_deref(), &route, &meta, arrived)?;
         Ok(Call {
             id,
             config,
             route,
             service,
             account,
+            counted,
             meta,
             method: head.method,
             uri: head.uri,
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -18,6 +18,8 @@
     Unauthorized,
     /// Whether the key still holds has not been confirmed lately; it has not run.
     Unconfirmed,
+    /// It is beyond the allowance of its account.
+    Exceeded,
     /// The request is not well formed.
     Malformed,
     /// The body is larger than allowed.
@@ -46,6 +48,9 @@
 /// Longest wait asked for servers that are full: callers have tries for a few
 /// seconds, and what is expected that far ahead is a guess.
 const LONGEST: Duration = Duration::from_secs(2);
+/// The same of an account whose allowance is used: a fifth of it comes free in this time
+/// where windows are 5 s long.
+const ROOM: Duration = Duration::from_secs(1);
 /// How far waits differ, as shares of what they would be: callers that were refused
 /// together must not come back together.
 const SPREAD: std::ops::Range<f64> = 0.75..1.25;
@@ -60,6 +65,7 @@
             Refusal::NoRoute => "no_route",
             Refusal::Unauthorized => "unauthorized",
             Refusal::Unconfirmed => "unconfirmed",
+            Refusal::Exceeded => "exceeded",
             Refusal::Malformed => "malformed",
             Refusal::TooLarge => "too_large",
             Refusal::NoServer => "no_server",
@@ -73,10 +79,16 @@
         }
     }
 
+    /// Whether the request certainly has not run and never will.
+    pub fn unrun(self) -> bool {
+        !matches!(self, Refusal::Broken | Refusal::TimedOut)
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Refusal::NoRoute | Refusal::NoTurn => StatusCode::NOT_FOUND,
             Refusal::Unauthorized => StatusCode::UNAUTHORIZED,
+            Refusal::Exceeded => StatusCode::TOO_MANY_REQUESTS,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Spent => StatusCode::PAYMENT_REQUIRED,
@@ -107,6 +119,7 @@
     pub fn retry_after(self, drain: Duration, draw: f64) -> Option<Duration> {
         let wait = match self {
             Refusal::NotStarted => STARTING,
+            Refusal::Exceeded => ROOM,
             Refusal::Full => drain.clamp(SOON, LONGEST),
             Refusal::NoServer | Refusal::NoKeepers | Refusal::Unconfirmed => SOON,
             _ => return None,
@@ -123,6 +136,7 @@
                 "the key is missing or not known; send a key of your client account"
             }
             Refusal::Unconfirmed => "the key cannot be checked here now; come back soon",
+            Refusal::Exceeded => "the allowance of the client account is used; come back soon",
             Refusal::Malformed => "the request is not well formed; correct its headers or body",
             Refusal::TooLarge => "the body is larger than allowed; send less",
             Refusal::NoServer => "no backend server is available; come back soon",
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -71,10 +71,18 @@
         reserve,
         parent,
         load: entry.fleet.report(Instant::now()),
+        usage: None,
         time: BEGIN,
         until: call.until.min(Instant::now() + RESTART),
     };
     let started = Instant::now();
+    let told = call
+        .counted
+        .map(|c| (c, entry.register.report(&c, started)));
+    let ask = Ask {
+        usage: told.as_ref().map(|(_, (report, _))| report.clone()),
+        ..ask
+    };
     let begun = entry.quorum.begin(&ask).await;
     metrics::histogram!("gradedyke_begin_seconds").record(started.elapsed().as_secs_f64());
     match begun {
@@ -82,6 +90,14 @@
             if let Some(load) = begun.load {
                 entry.fleet.learn(&load, Instant::now());
             }
+            if let (Some((counted, (_, mark))), Some(sum)) = (told, begun.usage)
+                && !entry.learn(call, &counted, mark, sum)
+            {
+                ledger.settle(entry, 0);
+                return Err(Refusal::Exceeded);
+            }
+            let begins = Call::begins(&call.route, &call.meta);
+            entry.demand.turn(&call.route.name, begins, Instant::now());
             Ok((begun.chain, ledger))
         }
         Err(error) => {
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -17,6 +17,8 @@
 //! - [`fleet`]: the backend servers; [`health`]: what is learned of one of them;
 //!   [`prefix`]: what it holds of prompts; [`estimate`]: usual times;
 //!   [`placement`]: which of them runs a request.
+//! - [`allowance`]: whether a request is within its account's allowance; [`demand`]: how
+//!   many requests a program needs.
 //! - [`mechanism`]: what of all this can be switched off, to measure its worth.
 //! - [`window`]: sums over the last seconds.
 //! - [`link`]: connections to backend servers.
@@ -25,7 +27,9 @@
 //! - [`process`]: a process from start to stop.
 
 pub mod account;
+pub mod allowance;
 pub mod config;
+pub mod demand;
 pub mod dialect;
 pub mod entry;
 pub mod estimate;
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -16,13 +16,15 @@
 use gradedyke_turns::mirror::Mirror;
 use gradedyke_turns::quorum::Quorum;
 use gradedyke_turns::replica::{self, Replica};
-use gradedyke_turns::{feed, snapshot};
+use gradedyke_turns::{feed, log, snapshot};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::allowance::Register;
+use crate::demand::Demand;
 use crate::dialect::Dialect;
 use crate::entry::{self, Door, Entry, Readiness};
 use crate::fleet::Fleet;
@@ -140,6 +142,8 @@
             config: ArcSwapOption::empty(),
             fleet: Fleet::new(&settings.data_centre, own, policy, enabled),
             quorum: quorum.clone(),
+            register: Register::new(rand::random(), settings.allowance_window(), Instant::now()),
+            demand: Demand::default(),
             enabled,
             drain: CancellationToken::new(),
             configured: Mutex::new(0),
@@ -235,11 +239,16 @@
             standby: feed::Standby::default(),
         };
         keeper.start(tasks, &world.kv, &stop);
-        let (opened, halt) = (mirror.clone(), stop.clone());
-        let open = move || Replica::open(&folder, opened, halt);
+        let (opened, halt, at) = (mirror.clone(), stop.clone(), folder.clone());
+        let open = move || {
+            let replica = Replica::open(&at, opened, halt)?;
+            snapshot::load_usage(&replica, &at, Instant::now());
+            Ok::<_, log::Error>(replica)
+        };
         let replica = tokio::task::spawn_blocking(open).await??;
         ready.send_replace(Some(replica.clone()));
         let membership = Membership::new(config, replica.clone(), world.kv, world.dialect);
+        tasks.spawn(snapshot::keep_usage(replica.clone(), folder, stop.clone()));
         tasks.spawn(membership.run(stop));
         tasks.spawn(replica.clone().recover());
         tasks.spawn(replica.expire());
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -69,6 +69,10 @@
     /// is cut off, in milliseconds. Without it a key holds until the entry hears of it.
     #[serde(default)]
     pub revocation_ms: Option<u64>,
+    /// Length of the windows in each of which the allowance of a client account holds, in
+    /// seconds.
+    #[serde(default = "allowance_window_s")]
+    pub allowance_window_s: f64,
     /// How an entry decides.
     #[serde(default)]
     pub decisions: Decisions,
@@ -104,6 +108,10 @@
     8.0
 }
 
+fn allowance_window_s() -> f64 {
+    5.0
+}
+
 fn drain_ms() -> u64 {
     2_000
 }
@@ -111,6 +119,10 @@
 /// Shortest time to stop in: the balancer notices within two seconds.
 const SHORTEST_GRACE_S: f64 = 1.0;
 
+/// Shortest window of an allowance, in seconds: what an entry lets through is known to the
+/// others about 0.1 s later.
+const SHORTEST_WINDOW_S: f64 = 1.0;
+
 /// Shortest time for a withdrawn key, in milliseconds: what an entry knows is up to 2.0 s
 /// old by the way that news take, and nothing could run otherwise.
 const SHORTEST_REVOCATION_MS: u64 = 3_000;
@@ -151,6 +163,12 @@
                 "shorter than news take to an entry; give 3000 or more",
             ));
         }
+        if settings.allowance_window_s < SHORTEST_WINDOW_S {
+            return Err(source.error(
+                "allowance_window_s",
+                "shorter than what entries tell each other takes; give 1 or more",
+            ));
+        }
         let policies = placement::policies(Enabled::default());
         if !policies.contains_key(settings.decisions.placement.as_str()) {
             let names: Vec<&str> = policies.into_keys().collect();
@@ -160,6 +178,11 @@
         Ok(settings)
     }
 
+    /// Length of the windows in each of which an allowance holds.
+    pub fn allowance_window(&self) -> Duration {
+        Duration::from_secs_f64(self.allowance_window_s)
+    }
+
     /// Time after which a withdrawn key has no effect at any entry.
     pub fn revocation(&self) -> Option<Duration> {
         self.revocation_ms.map(Duration::from_millis)
--- a/crates/gradedyke-load/src/recovery.rs
+++ b/crates/gradedyke-load/src/recovery.rs
@@ -118,6 +118,7 @@
         parent,
         nearest: true,
         load: Report::default(),
+        usage: None,
     });
     let reply = desk.handle(message::encode(&begin)).await;
     match message::decode(&reply) {
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -24,7 +24,7 @@
 //!   before it has read its disk; [`sync`]: replicas bring each other up to date.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
 //! - [`quorum`]: the asking side; [`detour`]: ways around a cut;
-//!   [`load`]: how busy backend servers are.
+//!   [`load`]: how busy backend servers are; [`usage`]: what client accounts have had.
 //! - [`mirror`]: a copy of the platform's service; [`feed`]: how it spreads;
 //!   [`snapshot`]: its copy on disk.
 //!
@@ -48,4 +48,5 @@
 pub mod replica;
 pub mod snapshot;
 pub mod sync;
+pub mod usage;
 pub mod view;
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -11,6 +11,7 @@
 use crate::load::{Busy, Report};
 use crate::mirror::News;
 use crate::record::{Id, Key, Record, Reserved};
+use crate::usage::{self, Total};
 use crate::view::{Disk, View};
 
 /// Asks to begin an attempt at a turn.
@@ -27,6 +28,8 @@
     pub nearest: bool,
     /// What the asker has in progress.
     pub load: Report,
+    /// What it let through for client accounts, if the turn is one's.
+    pub usage: Option<usage::Report>,
 }
 
 /// A request.
@@ -51,7 +54,11 @@
         view: u64,
         /// The record.
         record: Record,
+        /// What the asker let through for client accounts.
+        usage: Option<usage::Report>,
     },
+    /// Tells what the asker let through for client accounts, and asks for a sum.
+    Usage(usage::Report),
     /// Reads a conversation.
     Chain(Id),
     /// Reads which records arrived.
@@ -121,9 +128,16 @@
         parent: Option<Found>,
         /// What other entries have in progress, if this replica is the nearest.
         load: Option<Vec<Busy>>,
+        /// What the client account has had run, if that was asked.
+        usage: Option<Total>,
     },
     /// The record is kept.
-    Kept,
+    Kept {
+        /// What the client account has had run, if that was asked.
+        usage: Option<Total>,
+    },
+    /// What the client account has had run.
+    Usage(Total),
     /// The conversation.
     Chain(Option<Chain>),
     /// Which records arrived.
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -22,6 +22,7 @@
 use crate::message::{self, Begin, Reply, Request};
 use crate::mirror::Mirror;
 use crate::record::{Id, Record, Reserved};
+use crate::usage::{self, Total};
 use crate::view::{Disk, Member, View};
 
 /// Longest time for a replica's reply that is still of use: several syncs of a
@@ -80,6 +81,8 @@
     pub parent: Option<Id>,
     /// What the asker has in progress.
     pub load: Report,
+    /// What it let through for client accounts, if the turn is one's.
+    pub usage: Option<usage::Report>,
     /// How long one try may take.
     pub time: Duration,
     /// Until when tries are repeated after the loss of a majority.
@@ -93,6 +96,8 @@
     pub chain: Option<Chain>,
     /// What other entries have in progress, if the nearest replica told.
     pub load: Option<Vec<Busy>>,
+    /// What the client account has had run, if that was asked.
+    pub usage: Option<Total>,
 }
 
 /// The replicas as one asking process sees them.
@@ -363,6 +368,7 @@
                 parent: ask.parent.clone(),
                 nearest: Some(member.disk) == nearest,
                 load: ask.load.clone(),
+                usage: ask.usage.clone(),
             }))
         };
         let mut gathered = Gathered::new(view);
@@ -410,8 +416,13 @@
         }
         let late = self.late.take();
         let load = gathered.load.or(late);
+        let usage = gathered.usage;
         if ask.parent.is_none() {
-            return Ok(Begun { chain: None, load });
+            return Ok(Begun {
+                chain: None,
+                load,
+                usage,
+            });
         }
         let chain = match (gathered.chain, gathered.holder) {
             (Some(chain), _) => Ok(chain),
@@ -422,6 +433,7 @@
         chain.map(|chain| Begun {
             chain: Some(chain),
             load,
+            usage,
         })
     }
 
@@ -436,15 +448,26 @@
         }
     }
 
-    /// Keeps a record; returns once a majority has it on disk.
+    /// Keeps a record; returns once a majority has it on disk, with the sum of use that
+    /// `usage` asks for.
     ///
     /// # Errors
     ///
     /// [`Refusal::NoQuorum`]; the record may be kept all the same.
-    pub async fn keep(&self, record: &Record, until: Instant) -> Result<(), Refusal> {
+    pub async fn keep(
+        &self,
+        record: &Record,
+        usage: Option<&usage::Report>,
+        until: Instant,
+    ) -> Result<Option<Total>, Refusal> {
         loop {
             let view = self.view();
-            match self.keep_under(&view, record, until).await {
+            let request = message::encode(&Request::Keep {
+                view: view.version,
+                record: record.clone(),
+                usage: usage.cloned(),
+            });
+            match self.tell(&view, request, until).await {
                 Some(Err(_)) if Instant::now() < until => {
                     tokio::time::sleep(PATIENCE).await;
                 }
@@ -454,16 +477,30 @@
         }
     }
 
-    async fn keep_under(
+    /// Tells what was let through for client accounts, and asks a majority for a sum.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoQuorum`].
+    pub async fn used(
+        &self,
+        report: &usage::Report,
+        until: Instant,
+    ) -> Result<Option<Total>, Refusal> {
+        let request = message::encode(&Request::Usage(report.clone()));
+        let view = self.view();
+        let told = self.tell(&view, request, until).await;
+        told.unwrap_or(Err(Refusal::Unsure))
+    }
+
+    /// Sends a request to all members and waits for a majority; `None` when the view
+    /// turned out to be old.
+    async fn tell(
         &self,
         view: &View,
-        record: &Record,
+        request: Bytes,
         until: Instant,
-    ) -> Option<Result<(), Refusal>> {
-        let request = message::encode(&Request::Keep {
-            view: view.version,
-            record: record.clone(),
-        });
+    ) -> Option<Result<Option<Total>, Refusal>> {
         let mut gathered = Gathered::new(view);
         let mut answers = self.ask(view, |_| request.clone());
         while !gathered.has_quorum() {
@@ -478,7 +515,7 @@
             gathered.take(&member, reply);
         }
         if gathered.has_quorum() {
-            return Some(Ok(()));
+            return Some(Ok(gathered.usage));
         }
         let (answered, needed) = (gathered.answered, gathered.needed);
         Some(Err(Refusal::NoQuorum { answered, needed }))
--- a/crates/gradedyke-turns/src/quorum/gathered.rs
+++ b/crates/gradedyke-turns/src/quorum/gathered.rs
@@ -8,6 +8,7 @@
 use crate::load::Busy;
 use crate::message::{Found, Reply};
 use crate::record::{Id, Reserved};
+use crate::usage::Total;
 use crate::view::{Member, View};
 
 /// What the replicas said so far.
@@ -29,6 +30,8 @@
     /// Whether one has too much to do.
     pub(super) busy: bool,
     pub(super) load: Option<Vec<Busy>>,
+    /// The greatest sum that was told.
+    pub(super) usage: Option<Total>,
 }
 
 impl Gathered {
@@ -47,6 +50,7 @@
             starting: false,
             busy: false,
             load: None,
+            usage: None,
         }
     }
 
@@ -73,13 +77,22 @@
                 attempts,
                 parent,
                 load,
+                usage,
             }) => {
+                self.used(usage);
                 self.load = self.load.take().or(load);
                 self.count(member);
                 attempts.into_iter().for_each(|a| self.merge(a));
                 self.found(member, parent);
             }
-            Some(Reply::Kept) => self.count(member),
+            Some(Reply::Kept { usage }) => {
+                self.used(usage);
+                self.count(member);
+            }
+            Some(Reply::Usage(usage)) => {
+                self.used(Some(usage));
+                self.count(member);
+            }
             Some(Reply::Starting) => self.starting = true,
             Some(Reply::Busy) => self.busy = true,
             Some(Reply::Failed(error)) => {
@@ -89,6 +102,11 @@
         }
     }
 
+    fn used(&mut self, told: Option<Total>) {
+        let known = self.usage.unwrap_or_default();
+        self.usage = told.map(|t| t.max(known)).or(self.usage);
+    }
+
     fn found(&mut self, member: &Member, parent: Option<Found>) {
         match parent {
             Some(Found::Whole(chain)) => self.chain = Some(chain),
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -17,6 +17,7 @@
 use crate::message::{Begin, Found, Keys, Reply, Request};
 use crate::mirror::Mirror;
 use crate::record::{Id, Key, Record};
+use crate::usage::{self, Total};
 use crate::view::{Disk, View};
 
 /// Keys in one page.
@@ -48,6 +49,7 @@
     /// How far each other replica has followed.
     followed: Mutex<std::collections::HashMap<Disk, Position>>,
     board: Mutex<Board>,
+    usage: Mutex<usage::Board>,
     /// Held by whoever fetches records from another replica.
     fetching: tokio::sync::Mutex<()>,
     mirror: Arc<Mirror>,
@@ -118,6 +120,7 @@
             view: watch::Sender::new(View::default()),
             followed: Mutex::default(),
             board: Mutex::default(),
+            usage: Mutex::default(),
             fetching: tokio::sync::Mutex::default(),
             mirror,
             stop,
@@ -209,6 +212,7 @@
         if let Some(stale) = self.stale(begin.view) {
             return stale;
         }
+        let usage = begin.usage.map(|u| self.used(u));
         let program = begin.reserve.as_ref().map(|r| &r.program);
         if let Err(error) = self.recall(program, begin.parent.as_ref()).await {
             return Reply::Failed(error.to_string());
@@ -230,6 +234,7 @@
             attempts,
             parent,
             load,
+            usage,
         }
     }
 
@@ -237,6 +242,19 @@
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn usage(&self) -> MutexGuard<'_, usage::Board> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a report of use in, and tells the sum that it asks for.
+    fn used(&self, report: usage::Report) -> Total {
+        let now = Instant::now();
+        let asked = report.asked;
+        let mut usage = self.usage();
+        usage.put(report, now);
+        usage.total(asked, now)
+    }
+
     /// Takes a report in, and tells what others have in progress if `asked`.
     fn load(&self, report: Report, asked: bool) -> Option<Vec<Busy>> {
         let now = Instant::now();
@@ -322,12 +340,13 @@
         Some(records)
     }
 
-    async fn keep_under(&self, view: u64, record: &Record) -> Reply {
+    async fn keep_under(&self, view: u64, record: &Record, used: Option<usage::Report>) -> Reply {
         if let Some(stale) = self.stale(view) {
             return stale;
         }
+        let usage = used.map(|u| self.used(u));
         match self.keep(record).await {
-            Ok(()) => Reply::Kept,
+            Ok(()) => Reply::Kept { usage },
             Err(error) => Reply::Failed(error.to_string()),
         }
     }
@@ -390,7 +409,12 @@
             Request::Hello | Request::Age | Request::Follow { .. } => Reply::Hello,
             Request::Via { .. } => Reply::Failed("a keeper passes nothing on".to_owned()),
             Request::Begin(begin) => self.begin(begin).await,
-            Request::Keep { view, record } => self.keep_under(view, &record).await,
+            Request::Keep {
+                view,
+                record,
+                usage,
+            } => self.keep_under(view, &record, usage).await,
+            Request::Usage(report) => Reply::Usage(self.used(report)),
             Request::Chain(id) => self.tell_chain(&id).await,
             Request::Keys { disk, boot, from } => self.keys(disk, boot, from).await,
             Request::Records(keys) => match self.records(&keys).await {
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -129,6 +129,7 @@
             reserve: Some((reserved, budget)),
             parent: None,
             load: Report::default(),
+            usage: None,
             time: Duration::from_secs(1),
             until: soon(),
         };
@@ -142,7 +143,7 @@
             tokens,
             keep_ms: 60_000,
         });
-        self.quorum.keep(&record, soon()).await.unwrap();
+        self.quorum.keep(&record, None, soon()).await.unwrap();
     }
 
     async fn keep(&self, request: &str, parent: Option<&str>) -> Result<(), Refusal> {
@@ -156,7 +157,7 @@
             tokens: 1,
             keep_ms: 60_000,
         });
-        self.quorum.keep(&record, soon()).await
+        self.quorum.keep(&record, None, soon()).await.map(|_| ())
     }
 
     async fn chain(&self, parent: &str) -> Result<Option<Bytes>, Refusal> {
@@ -164,6 +165,7 @@
             reserve: None,
             parent: Some(id(parent)),
             load: Report::default(),
+            usage: None,
             time: Duration::from_secs(1),
             until: soon(),
         };
@@ -284,6 +286,7 @@
 async fn entries_learn_what_the_others_have_in_progress() {
     let group = Group::start(3).await;
     let ask = |entry, requests| Ask {
+        usage: None,
         reserve: None,
         parent: None,
         load: Report {
@@ -501,6 +504,7 @@
             parent: None,
             nearest: false,
             load: Report::default(),
+            usage: None,
         }))
     };
     let count = 1_000;
@@ -508,6 +512,7 @@
     // All have come before any is written.
     let first = begins.next().await.unwrap();
     let settled = message::encode(&Request::Keep {
+        usage: None,
         view: 1,
         record: Record::Settled(Settled {
             program: id("p"),
@@ -517,7 +522,7 @@
         }),
     });
     let kept = desk.handle(settled).await;
-    assert!(matches!(message::decode(&kept), Some(Reply::Kept)));
+    assert!(matches!(message::decode(&kept), Some(Reply::Kept { .. })));
     let mut replies: Vec<Bytes> = begins.collect().await;
     replies.push(first);
     let busy = replies
--- a/crates/gradedyke-turns/tests/recovery.rs
+++ b/crates/gradedyke-turns/tests/recovery.rs
@@ -102,6 +102,7 @@
             parent: parent.map(id),
             nearest: true,
             load: Report::default(),
+            usage: None,
         });
         match self.ask(&request).await {
             Reply::Began {
@@ -203,6 +204,7 @@
         parent: Some(id("a")),
         nearest: true,
         load: Report::default(),
+        usage: None,
     });
     let reply = started.ask(&request).await;
     assert!(matches!(reply, Reply::Failed(_)), "{reply:?}");
