--- a/crates/gradedyke-gateway/src/config.rs
+++ b/crates/gradedyke-gateway/src/config.rs
@@ -109,6 +109,8 @@
 pub struct Config {
     /// Rises with each change.
     pub version: u64,
+    /// Ranks that routes have: from 0 to below this.
+    ranks: u8,
     /// The routes by host, the longest prefix first.
     routes: HashMap<String, Vec<Arc<Route>>>,
     /// The services by name.
@@ -128,6 +130,7 @@
         limits: Limits,
         accounts: Option<Directory>,
     ) -> Self {
+        let ranks = routes.iter().map(|r| r.priority.saturating_add(1)).max();
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -139,6 +142,7 @@
         let named = |s: Service| (s.name.clone(), s);
         Self {
             version,
+            ranks: ranks.unwrap_or(1),
             routes: by_host,
             services: services.into_iter().map(named).collect(),
             limits,
@@ -154,6 +158,13 @@
         routes.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// The rank of a request at an engine; 0 is first. That of its account goes before
+    /// that of its route, so that an account's long conversations do not wait behind
+    /// short drafts of another one with the same rank.
+    pub fn rank(&self, account: Option<u8>, route: &Route) -> u8 {
+        rank(account, route.priority, self.ranks)
+    }
+
     /// How many routes there are.
     pub fn len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -165,6 +176,21 @@
     }
 }
 
+/// The rank of an account before that of a route, where routes have `ranks` of them.
+///
+/// ```
+/// use gradedyke_gateway::config::rank;
+///
+/// // Routes have the ranks 0 to 2.
+/// assert_eq!(rank(None, 1, 3), 1);
+/// assert_eq!(rank(Some(0), 2, 3), 2);
+/// assert_eq!(rank(Some(1), 0, 3), 3);
+/// ```
+pub fn rank(account: Option<u8>, route: u8, ranks: u8) -> u8 {
+    let account = account.unwrap_or(0);
+    account.saturating_mul(ranks).saturating_add(route)
+}
+
 impl Route {
     /// Whether a request may run more than once.
     pub fn repeatable(&self) -> bool {
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -202,7 +202,7 @@
 fn urgency(entry: &Entry, call: &Call) -> Option<u8> {
     let ranked = call.engine().is_some() && entry.enabled.has(Mechanism::Urgency);
     let account = call.account.as_ref().and_then(|a| a.rank);
-    ranked.then_some(account.unwrap_or(call.route.priority))
+    ranked.then(|| call.config.rank(account, &call.route))
 }
 
 /// What came of waiting for the head of an answer.
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -32,7 +32,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::account::Account;
+use crate::account::{Account, Directory};
 use crate::allowance::Register;
 use crate::config::{Config, Kind, Route};
 use crate::demand::Demand;
@@ -186,7 +186,8 @@
             before,
             revision,
             routes = config.len(),
-            services = config.services.len()
+            services = config.services.len(),
+            keys = config.accounts.as_ref().map_or(0, Directory::len)
         );
         self.config.store(Some(Arc::new(config)));
     }
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -146,7 +146,7 @@
             demand: Demand::default(),
             enabled,
             drain: CancellationToken::new(),
-            configured: Mutex::new(0),
+            configured: Mutex::default(),
             confirmation: settings.revocation().map(entry::confirmation),
             applied: Mutex::new(0),
             active: AtomicUsize::new(0),
