--- a/crates/gradedyke-gateway/src/entry/admission.rs
+++ b/crates/gradedyke-gateway/src/entry/admission.rs
@@ -12,6 +12,7 @@
 use crate::allowance::{Counted, Mark, Verdict};
 use crate::config::Route;
 use crate::dialect::Meta;
+use crate::mechanism::Mechanism;
 
 /// Longest time that keepers which are there have to tell a sum: ten exchanges of 5 ms
 /// on a busy keeper, twice.
@@ -37,7 +38,7 @@
         let Some(account) = account else {
             return Ok(None);
         };
-        let begins = Call::begins(route, meta);
+        let begins = Call::begins(route, meta) && self.enabled.has(Mechanism::WholePrograms);
         let planned = begins.then(|| self.demand.requests(&route.name, now));
         let counted = self.register.count(account, planned.unwrap_or(0), now);
         let Some(counted) = counted else {
--- a/crates/gradedyke-gateway/src/mechanism.rs
+++ b/crates/gradedyke-gateway/src/mechanism.rs
@@ -37,6 +37,8 @@
     SentBeside,
     /// Engines are told the rank of a request.
     Urgency,
+    /// Programs that an account's allowance has no room for are refused at their first turn.
+    WholePrograms,
 }
 
 /// The mechanisms that are on.
