--- a/crates/gradedyke-gateway/src/allowance.rs
+++ b/crates/gradedyke-gateway/src/allowance.rs
@@ -76,9 +76,12 @@
         self.counted.planned > 0
     }
 
-    /// Whether it is within the allowance by a sum that counts it.
+    /// Whether it is within the allowance by a sum that counts it. A program that needs
+    /// more than the allowance by itself may begin where no other has: its requests are
+    /// spread over longer than a window.
     pub fn within(&self, sum: Total) -> bool {
-        let planned = !self.begins() || sum.planned <= self.limit;
+        let most = self.limit.max(self.counted.planned);
+        let planned = !self.begins() || sum.planned <= most;
         planned && sum.requests <= self.limit
     }
 
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -110,26 +110,24 @@
     pub fn ready(&self) -> bool {
         let started = self.config.load().is_some() && self.fleet.listed() > 0;
         let drains = self.drain.is_cancelled();
-        started && !drains && self.quorum.reachable() && self.confirmed(Instant::now())
+        let confirmed = self.confirmed(self.age(Instant::now()));
+        started && !drains && self.quorum.reachable() && confirmed
     }
 
-    /// Whether a key that is in force here certainly was so for whoever sent a request
-    /// that arrived at `arrived`. A key may be withdrawn while this entry is cut off; the
-    /// age of what it knows tells, counted from when the question was sent that the
-    /// platform's service answered, so that no delay on the way makes it look younger.
-    fn confirmed(&self, arrived: Instant) -> bool {
+    /// Whether keys may be used by what is known here with this `age`. A key may be
+    /// withdrawn while this entry is cut off; the age tells, counted from when the question
+    /// was sent that the platform's service answered, so that no delay on the way makes
+    /// what is known look younger.
+    fn confirmed(&self, age: Option<Duration>) -> bool {
         let Some(bound) = self.confirmation else {
             return true;
         };
-        let keys = self
-            .config
-            .load()
-            .as_ref()
-            .is_some_and(|c| c.accounts.is_some());
-        !keys || self.age(arrived).is_some_and(|age| age <= bound)
+        let config = self.config.load();
+        let keys = config.as_ref().is_some_and(|c| c.accounts.is_some());
+        !keys || age.is_some_and(|age| age <= bound)
     }
 
-    /// How old what this entry knows may be for a request that arrived at `arrived`.
+    /// How old what is known here may be for a request that arrived at `arrived`.
     fn age(&self, arrived: Instant) -> Option<Duration> {
         let vouched = self.mirror.vouched()?;
         Some(arrived.saturating_duration_since(vouched))
@@ -260,23 +258,24 @@
         }
     }
 
-    /// The account whose key a request carries.
+    /// The account whose key a request carries, by a configuration of this `age` or
+    /// younger.
     fn holder(
         &self,
         config: &Config,
         route: &Route,
         meta: &Meta,
-        arrived: Instant,
+        age: Option<Duration>,
     ) -> Result<Option<Arc<Account>>, Refusal> {
         let Some(accounts) = &config.accounts else {
             return Ok(None);
         };
         match meta.key.and_then(|key| accounts.holder(key)) {
-            Some(account) if self.confirmed(arrived) => Ok(Some(account.clone())),
+            Some(account) if self.confirmed(age) => Ok(Some(account.clone())),
             Some(_) => Err(Refusal::Unconfirmed),
             None if route.public => Ok(None),
             // It may have been given out since.
-            None if self.age(arrived).is_none_or(|age| age > RECENT) => Err(Refusal::Unconfirmed),
+            None if age.is_none_or(|age| age > RECENT) => Err(Refusal::Unconfirmed),
             None => Err(Refusal::Unauthorized),
         }
     }
@@ -289,13 +288,15 @@
         arrived: Instant,
     ) -> Result<Call, Refusal> {
         let config = self.started(arrived).await.ok_or(Refusal::NotStarted)?;
+        // Before the configuration is taken, which may be younger than this then.
+        let age = self.age(arrived);
         let config = self.latest().unwrap_or(config);
         let (head, incoming) = request.into_parts();
         let host = head.headers.get(header::HOST);
         let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
         let route = config.route(host, head.uri.path());
         let route: Arc<Route> = route.ok_or(Refusal::NoRoute)?.clone();
-        let account = self.holder(&config, &route, &meta, arrived)?;
+        let account = self.holder(&config, &route, &meta, age)?;
         let id = meta.request.clone().ok_or(Refusal::Malformed)?;
         let allowed = meta.deadline.unwrap_or(DEADLINE).min(route.timeout);
         let until = arrived + allowed;
--- a/crates/gradedyke-gateway/tests/allowance.rs
+++ b/crates/gradedyke-gateway/tests/allowance.rs
@@ -387,3 +387,27 @@
     tally.undo(3, one);
     assert_eq!(tally.told(26), []);
 }
+
+#[tokio::test]
+async fn a_program_that_needs_more_than_the_allowance_begins_alone() {
+    let now = Instant::now();
+    let register = Register::new(1, WINDOW, now);
+    // 10 requests in a window, for programs that need 16 each.
+    let own = account(0, 2.0);
+    let mut board = Board::default();
+    let mut begin = |at: Instant| {
+        let counted = register.count(&own, PROGRAM, at).unwrap();
+        let (report, mark) = register.report(&counted, at);
+        board.put(report, at);
+        let sum = board.total(counted.account, at);
+        register.learn(mark, sum, at);
+        let within = counted.within(sum);
+        if !within {
+            register.undo(&counted);
+        }
+        within
+    };
+    assert!(begin(now));
+    assert!(!begin(now + Duration::from_secs(1)));
+    assert!(begin(now + Duration::from_secs(6)));
+}
