--- a/crates/gradedyke-turns/src/desk.rs
+++ b/crates/gradedyke-turns/src/desk.rs
@@ -11,15 +11,14 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::feed;
 use crate::message::{self, Reply, Request};
-use crate::mirror::{Mirror, News};
+use crate::mirror::Mirror;
 use crate::replica::Replica;
 
 /// Time after which a replica that reads its disk still says so: a third of what
 /// an entry gives replicas that are there.
 const STARTING: Duration = Duration::from_millis(100);
-/// Longest wait for news, whatever is asked for.
-const NEWS_WAIT: Duration = Duration::from_secs(5);
 /// Attempts that are begun at a time. A replica with 0.17 of a core takes about
 /// 1 ms for one, and whoever asks waits 300 ms: more would be done in
 /// vain, and hold memory meanwhile.
@@ -86,11 +85,14 @@
                 replica.board().note(address, Instant::now());
             }
             let wait = Duration::from_millis(wait_ms.into());
-            return self.follow(boot, since, wait).await;
+            let mut news = feed::tell(&self.mirror, boot, since, wait).await;
+            if let Some(replica) = &*self.replica.borrow() {
+                news.neighbours = replica.board().neighbours(Instant::now());
+            }
+            return Reply::News(news);
         }
         if matches!(request, Request::Age) {
-            let age = self.mirror.age(Instant::now());
-            return Reply::Age(age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)));
+            return feed::tell_age(&self.mirror, Instant::now());
         }
         let Some(_active) = self.admit(&request) else {
             metrics::counter!("gradedyke_busy_total").increment(1);
@@ -107,27 +109,6 @@
             None => Reply::Failed("the replica did not start; see its log".to_owned()),
         }
     }
-
-    async fn follow(&self, boot: u64, since: u64, wait: Duration) -> Reply {
-        let mut changed = self.mirror.watch();
-        let news = self.news(boot, since);
-        if !news.items.is_empty() || news.whole.is_some() || news.boot != boot {
-            return Reply::News(news);
-        }
-        let more = changed.wait_for(|change| *change > since);
-        // Without a change the reply still tells how old the copy is.
-        let _ = tokio::time::timeout(wait.min(NEWS_WAIT), more).await;
-        Reply::News(self.news(boot, since))
-    }
-
-    fn news(&self, boot: u64, since: u64) -> News {
-        let now = Instant::now();
-        let mut news = self.mirror.news(boot, since, now);
-        if let Some(replica) = &*self.replica.borrow() {
-            news.neighbours = replica.board().neighbours(now);
-        }
-        news
-    }
 }
 
 #[async_trait]
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -14,6 +14,7 @@
 use gradedyke_peer::{Client, Handler};
 use tokio::time::Instant;
 
+use crate::feed;
 use crate::message::{self, Reply, Request};
 use crate::quorum::Quorum;
 
@@ -31,7 +32,8 @@
 /// Neighbours that are tried for one request, one after the other.
 const DETOURS: usize = 3;
 
-/// Passes requests of other entries on to keepers.
+/// Passes requests of other entries on to keepers, and tells entries that are cut off what
+/// the platform's service holds.
 pub struct Forwarder {
     quorum: Arc<Quorum>,
 }
@@ -46,6 +48,16 @@
         let (to, body) = match request {
             Request::Hello => return Reply::Hello,
             Request::Via { to, body } => (to, body),
+            Request::Age => return feed::tell_age(self.quorum.mirror(), Instant::now()),
+            Request::Follow {
+                boot,
+                since,
+                wait_ms,
+                ..
+            } => {
+                let wait = Duration::from_millis(wait_ms.into());
+                return Reply::News(feed::tell(self.quorum.mirror(), boot, since, wait).await);
+            }
             _ => return Reply::Failed("an entry keeps no records; ask a keeper".to_owned()),
         };
         // To keepers only: an entry is no way to anywhere else.
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::message::{self, Reply, Request};
-use crate::mirror::Mirror;
+use crate::mirror::{Mirror, News};
 use crate::quorum::Quorum;
 
 /// How long a replica may wait for news before it answers without.
@@ -59,6 +59,29 @@
 /// it begin again and again.
 const HOLD: Duration = Duration::from_secs(3);
 
+/// Longest wait for news, whatever is asked for.
+const NEWS_WAIT: Duration = Duration::from_secs(5);
+
+/// Tells what changed in `mirror` after `since`, a point of the process start `boot`; waits
+/// up to `wait` for a change. Without one the news still tell how old the copy is.
+pub async fn tell(mirror: &Mirror, boot: u64, since: u64, wait: Duration) -> News {
+    let arrived = Instant::now();
+    let mut changed = mirror.watch();
+    let news = mirror.news(boot, since, arrived, arrived);
+    if !news.items.is_empty() || news.whole.is_some() || news.boot != boot {
+        return news;
+    }
+    let more = changed.wait_for(|change| *change > since);
+    let _ = tokio::time::timeout(wait.min(NEWS_WAIT), more).await;
+    mirror.news(boot, since, arrived, Instant::now())
+}
+
+/// Tells how old the copy in `mirror` is.
+pub fn tell_age(mirror: &Mirror, now: Instant) -> Reply {
+    let age = mirror.age(now);
+    Reply::Age(age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)))
+}
+
 /// Whether the feed brings fresh news.
 #[derive(Debug)]
 pub struct Health(Mutex<Instant>);
@@ -136,7 +159,8 @@
     let mut before = None;
     loop {
         let known = sources();
-        if let Some(source) = first(&quorum, &known).await {
+        let neighbours = neighbours(&mirror, &quorum);
+        if let Some(source) = first(&quorum, &known, &neighbours).await {
             let position = positions.entry(source).or_default();
             let mut joined = Joined {
                 source,
@@ -160,6 +184,19 @@
     }
 }
 
+/// Other entries that an entry takes news from when no keeper can be reached. Keys may
+/// only be used while the platform's service confirms them, and detours keep turns
+/// going: without news by way of neighbours, 20 of 58 entries that were cut off from all
+/// keepers for 12 s refused 480 requests from 1.7 s on, and 32 programs were lost by it.
+fn neighbours(mirror: &Mirror, quorum: &Quorum) -> Vec<SocketAddr> {
+    let Some(own) = quorum.own().filter(|_| quorum.cut_off()) else {
+        return Vec::new();
+    };
+    let mut neighbours = mirror.neighbours();
+    neighbours.retain(|n| *n != own);
+    neighbours
+}
+
 /// How far each source has been followed: its process start, and the change.
 type Positions = HashMap<SocketAddr, (u64, u64)>;
 
@@ -205,9 +242,16 @@
 /// questions; preferred ones have a start. Each is asked again by itself until it
 /// answers: after a loss of everything half of the sources come up 0.1 s after
 /// the others, and nobody is to wait for those.
-async fn first(quorum: &Quorum, sources: &[SocketAddr]) -> Option<SocketAddr> {
+///
+/// One of `neighbours` is as good as a source while its copy is fresh; an old one comes
+/// from the same keepers.
+async fn first(
+    quorum: &Quorum,
+    sources: &[SocketAddr],
+    neighbours: &[SocketAddr],
+) -> Option<SocketAddr> {
     let mut asked = FuturesUnordered::new();
-    for (place, source) in sources.iter().enumerate() {
+    for (place, source) in sources.iter().chain(neighbours).enumerate() {
         let client = quorum.client(*source);
         let start = AHEAD * u32::try_from(place).unwrap_or(u32::MAX);
         asked.push(async move {
@@ -221,6 +265,9 @@
         if age.is_some_and(|a| a <= STALE) {
             return Some(source);
         }
+        if neighbours.contains(&source) {
+            continue;
+        }
         if old.is_none() {
             until = until.min(Instant::now() + FRESHER);
         }
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -61,9 +61,10 @@
     pub whole: Option<Revision>,
     /// Milliseconds since the service last confirmed all this; none if never.
     pub age_ms: Option<u64>,
-    /// Milliseconds since the question to the service was sent that this answers, at
-    /// most; none if it never was.
-    pub asked_ms: Option<u64>,
+    /// Milliseconds, at most, from the question to the service that this answers until
+    /// the question to this process came in; below zero where that came first, and none
+    /// if the service never answered.
+    pub asked_ms: Option<i64>,
     /// Milliseconds for which the service has answered without a break.
     pub steady_ms: u64,
     /// Some entries that run.
@@ -226,8 +227,9 @@
         self.lock().steady = None;
     }
 
-    /// What changed after `since`, a point of the process start `boot`.
-    pub fn news(&self, boot: u64, since: u64, now: Instant) -> News {
+    /// What changed after `since`, a point of the process start `boot`, for a question
+    /// that came in at `arrived`.
+    pub fn news(&self, boot: u64, since: u64, arrived: Instant, now: Instant) -> News {
         let state = self.lock();
         let known = boot == self.boot;
         let since = if known { since } else { 0 };
@@ -243,10 +245,9 @@
             items: fresh.map(|h| h.item.clone()).collect(),
             whole: complete.filter(|_| !known),
             age_ms: state.confirmed(&self.prefixes).map(past),
-            // A part of a millisecond counts as a whole one.
             asked_ms: state
                 .least(&self.prefixes, |t| t.asked)
-                .map(|at| past(at) + 1),
+                .map(|at| between(at, arrived)),
             steady_ms: state.steady.map(past).unwrap_or_default(),
             neighbours: Vec::new(),
         }
@@ -278,8 +279,7 @@
             let confirmed = now.checked_sub(Duration::from_millis(age));
             // The answer may have lain here unread while this process was stopped, so
             // its age counts from the question on.
-            let before = |ms| asked.checked_sub(Duration::from_millis(ms));
-            let asked = news.asked_ms.and_then(before);
+            let asked = news.asked_ms.and_then(|ms| before(asked, ms));
             for prefix in &self.prefixes {
                 state.confirm(prefix, asked, confirmed);
             }
@@ -289,6 +289,24 @@
     }
 }
 
+/// Milliseconds from `first` to `second`, rounded up; below zero the other way round.
+fn between(first: Instant, second: Instant) -> i64 {
+    let ms = |d: Duration| i64::try_from(d.as_millis()).unwrap_or(i64::MAX - 1);
+    match second.checked_duration_since(first) {
+        Some(after) => ms(after) + 1,
+        None => -ms(first.saturating_duration_since(second)),
+    }
+}
+
+/// The moment so many milliseconds before `at`.
+fn before(at: Instant, ms: i64) -> Option<Instant> {
+    let distance = Duration::from_millis(ms.unsigned_abs());
+    if ms < 0 {
+        return at.checked_add(distance);
+    }
+    at.checked_sub(distance)
+}
+
 impl State {
     /// When all prefixes were last confirmed.
     fn confirmed(&self, prefixes: &[String]) -> Option<Instant> {
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -206,6 +206,19 @@
         view.enough(up) || self.around.load(Ordering::Relaxed)
     }
 
+    /// What this process knows of the platform's service.
+    pub fn mirror(&self) -> &Mirror {
+        &self.mirror
+    }
+
+    /// Whether no member could be reached when that was last tried.
+    pub fn cut_off(&self) -> bool {
+        let view = self.view();
+        view.members
+            .iter()
+            .all(|m| self.client(m.address).is_down())
+    }
+
     /// The ways to the keeper at `address`.
     fn way(&self, view: &View, address: SocketAddr) -> Way {
         let mut neighbours = self.mirror.neighbours();
--- a/crates/gradedyke-turns/tests/feed.rs
+++ b/crates/gradedyke-turns/tests/feed.rs
@@ -1,10 +1,13 @@
 //! How a process comes by its first news.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gradedyke_turns::desk::Desk;
+use gradedyke_turns::detour::Forwarder;
 use gradedyke_turns::feed::{self, ENTRY_START, Health};
-use gradedyke_turns::mirror::{Item, Mirror};
+use gradedyke_turns::mirror::{Item, Mirror, News};
 use gradedyke_turns::quorum::Quorum;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket};
@@ -72,3 +75,54 @@
     assert!(mirror.get("key").is_some());
     stop.cancel();
 }
+
+/// A neighbour that has `news`, and where it answers.
+async fn neighbour(news: News, stop: &CancellationToken) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mirror = holding();
+    let now = Instant::now();
+    mirror.learn(news, now, now);
+    let forwarder = Arc::new(Forwarder::new(Quorum::new(mirror, "here", None)));
+    let serving = gradedyke_peer::server::serve(listener, forwarder, stop.clone());
+    tokio::spawn(serving);
+    address
+}
+
+#[tokio::test]
+async fn an_entry_that_is_cut_off_takes_news_of_a_neighbour_whose_copy_is_fresh() {
+    let stop = CancellationToken::new();
+    let now = Instant::now();
+    let confirmed = |age_ms| News {
+        whole: Some(1),
+        items: holding().items(),
+        age_ms: Some(age_ms),
+        asked_ms: Some(20),
+        ..News::default()
+    };
+    // One is cut off too: its copy is older than is of use.
+    let old = neighbour(confirmed(5_000), &stop).await;
+    let fresh = neighbour(confirmed(10), &stop).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let keeper = closed.local_addr().unwrap();
+    drop(closed);
+    let mirror = Mirror::new(&[""]);
+    let known = News {
+        neighbours: vec![old, fresh],
+        ..News::default()
+    };
+    mirror.learn(known, now, now);
+    let own = "127.0.0.1:1".parse().unwrap();
+    let quorum = Quorum::new(mirror.clone(), "here", Some(own));
+    let health = Arc::new(Health::new(now, ENTRY_START));
+    let sources = move || vec![keeper];
+    let feed = feed::run(mirror.clone(), quorum, health, sources, stop.clone());
+    tokio::spawn(feed);
+    let mut changed = mirror.watch();
+    changed.wait_for(|change| *change > 0).await.unwrap();
+    assert!(mirror.get("key").is_some());
+    // It came from the fresh one, and says how old it is.
+    assert!(mirror.age(Instant::now()).unwrap() < Duration::from_secs(4));
+    assert!(mirror.vouched().is_some());
+    stop.cancel();
+}
