--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -187,7 +187,8 @@
 /// Other entries that an entry takes news from when no keeper can be reached. Keys may
 /// only be used while the platform's service confirms them, and detours keep turns
 /// going: without news by way of neighbours, 20 of 58 entries that were cut off from all
-/// keepers for 12 s refused 480 requests from 1.7 s on, and 32 programs were lost by it.
+/// keepers for 12 s refused 480 requests from 1.7 s on, and 32 programs were lost by it;
+/// with them none (one run of the same day each).
 fn neighbours(mirror: &Mirror, quorum: &Quorum) -> Vec<SocketAddr> {
     let Some(own) = quorum.own().filter(|_| quorum.cut_off()) else {
         return Vec::new();
