--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -96,6 +96,9 @@
     change: u64,
     /// Of each prefix that was listed.
     through: HashMap<String, Through>,
+    /// The change at which a prefix was last listed for the first time: who was told
+    /// something before has only what came from a disk, and is told all once more.
+    listed: u64,
     steady: Option<Instant>,
     neighbours: Vec<SocketAddr>,
 }
@@ -231,7 +234,7 @@
     /// that came in at `arrived`.
     pub fn news(&self, boot: u64, since: u64, arrived: Instant, now: Instant) -> News {
         let state = self.lock();
-        let known = boot == self.boot;
+        let known = boot == self.boot && since >= state.listed;
         let since = if known { since } else { 0 };
         let through = self.prefixes.iter();
         let through = through.map(|p| state.through.get(p).map(|t| t.revision));
@@ -386,6 +389,11 @@
         for item in items {
             fresh |= self.put(item, now);
         }
+        if !self.through.contains_key(prefix) {
+            self.change += 1;
+            self.listed = self.change;
+            fresh = true;
+        }
         let through = self.through.entry(prefix.to_owned()).or_default();
         through.revision = revision.max(through.revision);
         fresh
--- a/crates/gradedyke-turns/tests/mirror.rs
+++ b/crates/gradedyke-turns/tests/mirror.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gradedyke_turns::mirror::{Mirror, News};
+use gradedyke_turns::mirror::{Item, Mirror, News};
 use tokio::time::Instant;
 
 fn news(asked_ms: Option<i64>) -> News {
@@ -66,3 +66,31 @@
     second.learn(told, asked, asked + Duration::from_millis(310));
     assert_eq!(second.vouched(), Some(later));
 }
+
+#[tokio::test]
+async fn who_joined_a_copy_from_a_disk_learns_when_the_service_has_confirmed_it() {
+    let now = Instant::now();
+    let item = Item {
+        key: "key".to_owned(),
+        value: Some("value".into()),
+        revision: 3,
+    };
+    let (keeper, entry) = (Mirror::new(&[""]), Mirror::new(&[""]));
+    keeper.put(vec![item.clone()], now);
+    let told = keeper.news(0, 0, now, now);
+    let (boot, next) = (told.boot, told.next);
+    entry.learn(told, now, now);
+    assert_eq!((entry.get("key").is_some(), entry.vouched()), (true, None));
+    // The service holds the same still, so that nothing changes but what is known of it.
+    let mut changed = keeper.watch();
+    changed.mark_unchanged();
+    let listed = News {
+        items: vec![item],
+        ..news(Some(10))
+    };
+    keeper.learn(listed, now, now);
+    assert!(changed.has_changed().unwrap());
+    entry.learn(keeper.news(boot, next, now, now), now, now);
+    assert!(entry.vouched().is_some());
+    assert!(entry.age(now).is_some());
+}
