--- a/crates/gradedyke-gateway/src/allowance.rs
+++ b/crates/gradedyke-gateway/src/allowance.rs
@@ -136,6 +136,7 @@
 }
 
 impl Use {
+    /// The sum at `now`; `None` before any was told.
     fn estimate(&self, now: Instant) -> Option<Estimate> {
         let known = self.known?;
         let unseen = rise(known.own.requests, self.own.requests);
@@ -157,10 +158,12 @@
     i32::try_from(after.wrapping_sub(before)).map_or(0, i32::unsigned_abs)
 }
 
-/// What the answer to a report tells of: see [`Register::learn`].
+/// What a report was made for, to take in its answer: see [`Register::learn`].
 #[derive(Clone, Copy, Debug)]
 pub struct Mark {
-    account: usage::Account,
+    /// The request.
+    pub counted: Counted,
+    /// What this entry had let through for its account, ever.
     own: Total,
 }
 
@@ -283,7 +286,7 @@
         }
         let own = accounts.get(&counted.account).map(|u| u.own);
         let mark = Mark {
-            account: counted.account,
+            counted: *counted,
             own: own.unwrap_or_default(),
         };
         let report = Report {
@@ -298,7 +301,7 @@
     /// Takes in the sum that answers a report.
     pub fn learn(&self, mark: Mark, sum: Total, now: Instant) {
         let mut accounts = self.lock();
-        let used = accounts.entry(mark.account).or_default();
+        let used = accounts.entry(mark.counted.account).or_default();
         used.known = Some(Known {
             at: now,
             sum,
--- a/crates/gradedyke-gateway/src/entry/admission.rs
+++ b/crates/gradedyke-gateway/src/entry/admission.rs
@@ -14,8 +14,8 @@
 use crate::dialect::Meta;
 use crate::mechanism::Mechanism;
 
-/// Longest time that keepers which are there have to tell a sum: ten exchanges of 5 ms
-/// on a busy keeper, twice.
+/// Longest time that keepers which are there have to tell a sum: thirty times the 3 ms
+/// that an exchange which begins a turn takes on average.
 const ASK: Duration = Duration::from_millis(100);
 /// Longest wait for keepers that were lost a moment ago, as for those that begin a turn.
 const RESTART: Duration = Duration::from_millis(1_000);
@@ -51,9 +51,11 @@
         Ok(Some(counted))
     }
 
-    /// Takes in a sum that counts the request. Returns whether it is within its allowance.
-    pub(super) fn learn(&self, call: &Call, counted: &Counted, mark: Mark, sum: Total) -> bool {
+    /// Takes in the sum that answers a report on the request, and counts it. Returns whether
+    /// the request is within its allowance.
+    pub(super) fn learn(&self, call: &Call, mark: Mark, sum: Total) -> bool {
         self.register.learn(mark, sum, Instant::now());
+        let counted = mark.counted;
         let within = counted.within(sum);
         if !within {
             tracing::info!(event = "beyond_allowance", request = %call.id,
@@ -89,12 +91,8 @@
             let (report, mark) = self.register.report(counted, Instant::now());
             let until = end.min(Instant::now() + ASK);
             if let Ok(Some(sum)) = self.quorum.used(&report, until).await {
-                let within = self.learn(call, counted, mark, sum);
-                return if within {
-                    Ok(())
-                } else {
-                    Err(Refusal::Exceeded)
-                };
+                let within = self.learn(call, mark, sum);
+                return within.then_some(()).ok_or(Refusal::Exceeded);
             }
             let now = Instant::now();
             if self.register.unasked(counted, now) {
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -339,12 +339,12 @@
         });
         let started = Instant::now();
         let until = self.call.until.min(started + KEEP);
-        let counted = self.call.counted.as_ref();
-        let told = counted.map(|c| self.entry.register.report(c, started));
-        let report = told.as_ref().map(|(report, _)| report);
-        let kept = self.entry.quorum.keep(&record, report, until).await;
-        if let (Some((_, mark)), Ok(Some(sum))) = (told, &kept) {
-            self.entry.register.learn(mark, *sum, Instant::now());
+        let register = &self.entry.register;
+        let told = self.call.counted.map(|c| register.report(&c, started));
+        let (usage, mark) = told.unzip();
+        let kept = self.entry.quorum.keep(&record, usage.as_ref(), until).await;
+        if let (Some(mark), Ok(Some(sum))) = (mark, &kept) {
+            register.learn(mark, *sum, Instant::now());
         }
         metrics::histogram!("gradedyke_keep_seconds").record(started.elapsed().as_secs_f64());
         if let Err(error) = &kept {
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -67,21 +67,16 @@
     let ledger = Ledger::new(reserve.as_ref().map(|(r, _)| r.clone()));
     let parent = call.route.retention.and(call.meta.parent.as_ref());
     let parent = parent.map(|p| call.scope(p));
+    let started = Instant::now();
+    let told = call.counted.map(|c| entry.register.report(&c, started));
+    let (usage, mark) = told.unzip();
     let ask = Ask {
         reserve,
         parent,
-        load: entry.fleet.report(Instant::now()),
-        usage: None,
+        load: entry.fleet.report(started),
+        usage,
         time: BEGIN,
-        until: call.until.min(Instant::now() + RESTART),
-    };
-    let started = Instant::now();
-    let told = call
-        .counted
-        .map(|c| (c, entry.register.report(&c, started)));
-    let ask = Ask {
-        usage: told.as_ref().map(|(_, (report, _))| report.clone()),
-        ..ask
+        until: call.until.min(started + RESTART),
     };
     let begun = entry.quorum.begin(&ask).await;
     metrics::histogram!("gradedyke_begin_seconds").record(started.elapsed().as_secs_f64());
@@ -90,8 +85,8 @@
             if let Some(load) = begun.load {
                 entry.fleet.learn(&load, Instant::now());
             }
-            if let (Some((counted, (_, mark))), Some(sum)) = (told, begun.usage)
-                && !entry.learn(call, &counted, mark, sum)
+            if let (Some(mark), Some(sum)) = (mark, begun.usage)
+                && !entry.learn(call, mark, sum)
             {
                 ledger.settle(entry, 0);
                 return Err(Refusal::Exceeded);
