--- a/crates/gradedyke-load/src/main.rs
+++ b/crates/gradedyke-load/src/main.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod server;
 mod takeover;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -27,7 +28,7 @@
 ";
 
 /// The experiments, with what each one tells.
-const EXPERIMENTS: [(&str, &str); 7] = [
+const EXPERIMENTS: [(&str, &str); 8] = [
     (
         "decision",
         "processor time of a choice of a server, by the number of servers",
@@ -52,6 +53,10 @@
         "takeover",
         "from the kill of an owner to the first served call of its programs",
     ),
+    (
+        "usage",
+        "what the use of client accounts costs an exchange, by the deployment's size",
+    ),
     (
         "memory",
         "memory and journal of an owner by programs and history",
@@ -100,6 +105,7 @@
         "recovery" => recovery::run(short).await,
         "relay" => relay::run(short).await,
         "takeover" => takeover::run(short).await,
+        "usage" => usage::measure(short),
         "memory" => memory::run(short).await,
         other => Err(eyre!("no experiment {other}; see gradedyke-load list")),
     }
--- /dev/null
+++ b/crates/gradedyke-load/src/usage.rs
@@ -0,0 +1,96 @@
+//! Processor time and bytes that the use of client accounts costs an exchange between an
+//! entry and a keeper, by the size of the deployment. One thread, no network; the least
+//! of several rounds, because other work on the machine only adds.
+
+use std::time::Duration;
+
+use gradedyke_gateway::account::{Account, Allowance};
+use gradedyke_gateway::allowance::Register;
+use gradedyke_turns::message;
+use gradedyke_turns::record::Id;
+use gradedyke_turns::usage::Board;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+/// Deployments: entries, accounts, and requests a second. The first is the users' of
+/// today, the last the one aimed at.
+const SIZES: [(u64, usize, u64); 3] = [(58, 76, 2_300), (300, 300, 6_000), (1_400, 1_100, 12_000)];
+/// Windows of allowances.
+const WINDOW: Duration = Duration::from_secs(5);
+/// Exchanges of a round.
+const EXCHANGES: u64 = 2_000;
+/// Rounds, of which the least counts.
+const ROUNDS: u32 = 7;
+
+fn accounts(count: usize) -> eyre::Result<Vec<Account>> {
+    let account = |number| {
+        let name = format!("account{number}");
+        let name = Id::parse(&name).ok_or_else(|| eyre::eyre!("{name} is no name"))?;
+        let allowance = Allowance {
+            per_second: 1_000.0,
+            burst: 0.0,
+        };
+        Ok(Account {
+            name,
+            rank: None,
+            allowance: Some(allowance),
+        })
+    };
+    (0..count).map(account).collect()
+}
+
+/// An entry's request of an account: what it tells a keeper, and the sum that answers it.
+/// Returns the bytes of the report.
+fn exchange(register: &Register, board: &mut Board, account: &Account, now: Instant) -> usize {
+    let Some(counted) = register.count(account, 0, now) else {
+        return 0;
+    };
+    let (report, mark) = register.report(&counted, now);
+    let bytes = message::encode(&report).len();
+    board.put(report, now);
+    let sum = board.total(counted.account, now);
+    register.learn(mark, sum, now);
+    bytes
+}
+
+fn measure_one((entries, count, rate): (u64, usize, u64), rounds: u32) -> eyre::Result<Value> {
+    let accounts = accounts(count)?;
+    let start = Instant::now();
+    let registers = (0..entries).map(|n| Register::new(n, WINDOW, start));
+    let registers: Vec<Register> = registers.collect();
+    let mut board = Board::default();
+    let mut least = f64::INFINITY;
+    let mut bytes = 0;
+    let mut number = 0;
+    let mut play = |exchanges: u64, board: &mut Board| {
+        let mut bytes = 0;
+        for _ in 0..exchanges {
+            number += 1;
+            let now = start + Duration::from_micros(number * 1_000_000 / rate);
+            // Accounts and entries in another order each time round.
+            let register = &registers[usize::try_from(number * 7 % entries).unwrap_or_default()];
+            let account = &accounts[usize::try_from(number * 31).unwrap_or_default() % count];
+            bytes += exchange(register, board, account, now);
+        }
+        bytes
+    };
+    // A whole window first.
+    play(rate * WINDOW.as_secs(), &mut board);
+    for _ in 0..rounds {
+        let began = std::time::Instant::now();
+        bytes = play(EXCHANGES, &mut board);
+        least = least.min(began.elapsed().as_secs_f64() * 1e6 / EXCHANGES as f64);
+    }
+    Ok(json!({
+        "entries": entries, "accounts": count, "requests_per_s": rate,
+        "exchange_us": least, "report_bytes": bytes as f64 / EXCHANGES as f64,
+    }))
+}
+
+/// Measures all of it; `short` with one round of the first size.
+pub fn measure(short: bool) -> eyre::Result<Value> {
+    let (sizes, rounds) = if short { (1, 1) } else { (SIZES.len(), ROUNDS) };
+    let rows = SIZES.into_iter().take(sizes);
+    let rows: eyre::Result<Vec<Value>> = rows.map(|size| measure_one(size, rounds)).collect();
+    Ok(Value::Array(rows?))
+}
