--- a/crates/gradedyke-gateway/src/allowance.rs
+++ b/crates/gradedyke-gateway/src/allowance.rs
@@ -9,7 +9,7 @@
 //! keepers ([`gradedyke_turns::usage`]). A turn hears it with the exchange that begins
 //! it, so it is let through by a sum that counts it. A call of a tool has no such
 //! exchange. It is let through by what is known where that is young and leaves room
-//! ([`NEAR`]), and asks for the sum where it is not, so that what is counted late cannot
+//! (`NEAR`), and asks for the sum where it is not, so that what is counted late cannot
 //! add up to more than the room that is left.
 //!
 //! What an account asks beyond its allowance would be refused at any step of its
