--- a/crates/gradedyke-gateway/src/allowance.rs
+++ b/crates/gradedyke-gateway/src/allowance.rs
@@ -65,22 +65,22 @@
     pub account: usage::Account,
     /// What the account may have in a window.
     pub limit: u32,
-    /// What it was counted as.
-    pub counted: Total,
+    /// What it adds to the use of the account.
+    pub amount: Total,
     part: u64,
 }
 
 impl Counted {
     /// Whether it begins a program.
     pub fn begins(&self) -> bool {
-        self.counted.planned > 0
+        self.amount.planned > 0
     }
 
     /// Whether it is within the allowance by a sum that counts it. A program that needs
     /// more than the allowance by itself may begin where no other has: its requests are
     /// spread over longer than a window.
     pub fn within(&self, sum: Total) -> bool {
-        let most = self.limit.max(self.counted.planned);
+        let most = self.limit.max(self.amount.planned);
         let planned = !self.begins() || sum.planned <= most;
         planned && sum.requests <= self.limit
     }
@@ -209,7 +209,7 @@
         let counted = Counted {
             account: usage::account(&account.name),
             limit,
-            counted: Total {
+            amount: Total {
                 requests: 1,
                 planned,
             },
@@ -217,7 +217,7 @@
         };
         let mut accounts = self.lock();
         let used = accounts.entry(counted.account).or_default();
-        used.tally.add(counted.part, counted.counted);
+        used.tally.add(counted.part, counted.amount);
         used.own.requests = used.own.requests.wrapping_add(1);
         used.own.planned = used.own.planned.wrapping_add(planned);
         used.raised = true;
@@ -230,7 +230,7 @@
         let Some(used) = accounts.get_mut(&counted.account) else {
             return;
         };
-        let back = counted.counted;
+        let back = counted.amount;
         used.tally.undo(counted.part, back);
         used.own.requests = used.own.requests.wrapping_sub(back.requests);
         used.own.planned = used.own.planned.wrapping_sub(back.planned);
