Sight of what keepers are asked while they fall behind

Logs could not tell whether keepers are kept busy by callers or by what entries repeat. A keeper now writes one line a second while it falls behind: requests by kind, how many it turned away, how long they lay unread, how long answers took; counters by kind, and of an entry's tries to keep a record. The time at which a call was read is handed to who answers it.

--- a/crates/gradedyke-load/src/recovery.rs
+++ b/crates/gradedyke-load/src/recovery.rs
@@ -120,7 +120,7 @@
         load: Report::default(),
         usage: None,
     });
-    let reply = desk.handle(message::encode(&begin)).await;
+    let reply = desk.handle(message::encode(&begin), Instant::now()).await;
     match message::decode(&reply) {
         Some(Reply::Began { parent, .. }) => Ok(matches!(parent, Some(Found::Whole(_)))),
         reply => Err(eyre!("not begun: {reply:?}")),
--- a/crates/gradedyke-peer/src/server.rs
+++ b/crates/gradedyke-peer/src/server.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
 
@@ -25,8 +26,9 @@
 /// Answers calls.
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
-    /// Answers one call. A dropped future means that the caller has gone.
-    async fn handle(&self, request: Bytes) -> Bytes;
+    /// Answers one call that was read from its connection at `arrived`. A dropped future
+    /// means that the caller has gone.
+    async fn handle(&self, request: Bytes, arrived: Instant) -> Bytes;
 }
 
 /// Serves `listener` until `stop`; connections end with it.
@@ -72,8 +74,9 @@
                 };
                 let handler = handler.clone();
                 let sender = sender.clone();
+                let arrived = Instant::now();
                 calls.spawn(async move {
-                    let reply = handler.handle(body).await;
+                    let reply = handler.handle(body, arrived).await;
                     // The connection has gone, and the caller with it.
                     let _ = sender.send(join(number, &reply)).await;
                 });
--- a/crates/gradedyke-peer/tests/calls.rs
+++ b/crates/gradedyke-peer/tests/calls.rs
@@ -18,7 +18,7 @@
 
 #[async_trait]
 impl Handler for Echo {
-    async fn handle(&self, request: Bytes) -> Bytes {
+    async fn handle(&self, request: Bytes, _arrived: Instant) -> Bytes {
         if request == "wait" {
             // The permit is given back at once; the semaphore is only a gate.
             let _ = self.0.acquire().await;
--- a/crates/gradedyke-turns/src/desk.rs
+++ b/crates/gradedyke-turns/src/desk.rs
@@ -1,8 +1,8 @@
 //! What other processes meet: lets requests in, and answers those that need no
 //! records at once.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -15,6 +15,7 @@
 use crate::message::{self, Reply, Request};
 use crate::mirror::Mirror;
 use crate::replica::Replica;
+use crate::tally::{Kind, Tally};
 
 /// Time after which a replica that reads its disk still says so: a third of what
 /// an entry gives replicas that are there.
@@ -52,6 +53,7 @@
     replica: watch::Receiver<Option<Arc<Replica>>>,
     begins: AtomicUsize,
     others: AtomicUsize,
+    tally: Mutex<Tally>,
 }
 
 impl Desk {
@@ -62,9 +64,37 @@
             replica,
             begins: AtomicUsize::new(0),
             others: AtomicUsize::new(0),
+            tally: Mutex::new(Tally::new(Instant::now())),
         }
     }
 
+    fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request that came at `arrived`, and tells of the second before if the
+    /// replica fell behind in it.
+    fn count(&self, request: &Request, arrived: Instant, now: Instant) {
+        let kind = Kind::of(request);
+        metrics::counter!("gradedyke_asked_total", "kind" => kind.name()).increment(1);
+        let span = {
+            let mut tally = self.tally();
+            let span = tally.over(now);
+            tally.count(kind, now.saturating_duration_since(arrived));
+            span
+        };
+        let Some(span) = span else { return };
+        tracing::warn!(
+            event = "falls_behind",
+            begins = span.begins,
+            keeps = span.keeps,
+            reads = span.reads,
+            refused = span.refused,
+            unread_ms = span.unread.as_millis(),
+            took_ms = span.took.as_millis()
+        );
+    }
+
     /// Lets a request in, if there is room for it.
     fn admit(&self, request: &Request) -> Option<Active<'_>> {
         match request {
@@ -96,6 +126,7 @@
         }
         let Some(_active) = self.admit(&request) else {
             metrics::counter!("gradedyke_busy_total").increment(1);
+            self.tally().refuse();
             return Reply::Busy;
         };
         let mut replica = self.replica.clone();
@@ -105,17 +136,31 @@
         };
         let ready = ready.ok().and_then(|r| r.clone());
         match ready {
-            Some(replica) => replica.answer(request).await,
+            Some(replica) => self.timed(&replica, request).await,
             None => Reply::Failed("the replica did not start; see its log".to_owned()),
         }
     }
+
+    async fn timed(&self, replica: &Replica, request: Request) -> Reply {
+        // One that reads may wait for news.
+        let waits = Kind::of(&request) == Kind::Read;
+        let started = Instant::now();
+        let reply = replica.answer(request).await;
+        if !waits {
+            self.tally().answered(started.elapsed());
+        }
+        reply
+    }
 }
 
 #[async_trait]
 impl Handler for Desk {
-    async fn handle(&self, request: Bytes) -> Bytes {
+    async fn handle(&self, request: Bytes, arrived: Instant) -> Bytes {
         let reply = match message::decode(&request) {
-            Some(request) => self.answer(request).await,
+            Some(request) => {
+                self.count(&request, arrived, Instant::now());
+                self.answer(request).await
+            }
             None => Reply::Failed(
                 "the request is not understood; run the same version everywhere".to_owned(),
             ),
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -76,7 +76,7 @@
 
 #[async_trait]
 impl Handler for Forwarder {
-    async fn handle(&self, request: Bytes) -> Bytes {
+    async fn handle(&self, request: Bytes, _arrived: Instant) -> Bytes {
         let reply = match message::decode(&request) {
             Some(request) => self.answer(request).await,
             None => Reply::Failed("the request is not understood".to_owned()),
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -21,7 +21,8 @@
 //!   [`body`]: what was said, as far as it is in memory; [`conversation`]: all of
 //!   it up to a turn.
 //! - [`desk`] and [`replica`]: the answering side; [`archive`] and [`recovery`]: how it serves
-//!   before it has read its disk; [`sync`]: replicas bring each other up to date.
+//!   before it has read its disk; [`sync`]: replicas bring each other up to date; [`tally`]:
+//!   what one is asked.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
 //! - [`quorum`]: the asking side; [`detour`]: ways around a cut;
 //!   [`load`]: how busy backend servers are; [`usage`]: what client accounts have had.
@@ -48,5 +49,6 @@
 pub mod replica;
 pub mod snapshot;
 pub mod sync;
+pub mod tally;
 pub mod usage;
 pub mod view;
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -480,6 +480,7 @@
                 record: record.clone(),
                 usage: usage.cloned(),
             });
+            metrics::counter!("gradedyke_kept_tries_total").increment(1);
             match self.tell(&view, request, until).await {
                 Some(Err(_)) if Instant::now() < until => {
                     tokio::time::sleep(PATIENCE).await;
--- a/crates/gradedyke-turns/tests/quorum.rs
+++ b/crates/gradedyke-turns/tests/quorum.rs
@@ -413,7 +413,7 @@
         futures_util::future::join_all(kept).await;
         tokio::time::pause();
         let began = Instant::now();
-        let reply = desk.handle(keys.clone()).await;
+        let reply = desk.handle(keys.clone(), Instant::now()).await;
         let waited = began.elapsed();
         tokio::time::resume();
         let Some(Reply::Keys(keys)) = message::decode(&reply) else {
@@ -445,7 +445,7 @@
     let hello = message::encode(&Request::Hello);
     let reading = async {
         for (open, desk, replica) in opened {
-            let reply = desk.handle(hello.clone());
+            let reply = desk.handle(hello.clone(), Instant::now());
             let reply = tokio::time::timeout(Duration::from_secs(5), reply).await;
             let reply = reply.expect("a replica that starts says nothing");
             assert!(matches!(message::decode(&reply), Some(Reply::Starting)));
@@ -508,7 +508,9 @@
         }))
     };
     let count = 1_000;
-    let mut begins: FuturesUnordered<_> = (0..count).map(|n| desk.handle(begin(n))).collect();
+    let mut begins: FuturesUnordered<_> = (0..count)
+        .map(|n| desk.handle(begin(n), Instant::now()))
+        .collect();
     // All have come before any is written.
     let first = begins.next().await.unwrap();
     let settled = message::encode(&Request::Keep {
@@ -521,7 +523,7 @@
             keep_ms: 60_000,
         }),
     });
-    let kept = desk.handle(settled).await;
+    let kept = desk.handle(settled, Instant::now()).await;
     assert!(matches!(message::decode(&kept), Some(Reply::Kept { .. })));
     let mut replies: Vec<Bytes> = begins.collect().await;
     replies.push(first);
@@ -531,7 +533,7 @@
     let busy = busy.count();
     assert!(busy > count / 2, "{busy} of {count}");
     // There is room again.
-    let reply = desk.handle(begin(count)).await;
+    let reply = desk.handle(begin(count), Instant::now()).await;
     assert!(matches!(message::decode(&reply), Some(Reply::Began { .. })));
 }
 
@@ -581,8 +583,8 @@
 
 #[async_trait]
 impl Handler for Counting {
-    async fn handle(&self, request: Bytes) -> Bytes {
+    async fn handle(&self, request: Bytes, arrived: Instant) -> Bytes {
         self.asked.fetch_add(1, Ordering::Relaxed);
-        self.forwarder.handle(request).await
+        self.forwarder.handle(request, arrived).await
     }
 }
