Fewer programs begin while keepers have more to do than they can

Cause: keepers refused turns as they came, so a program of eleven turns ended whole with the eleventh power of the share that was let in, and what it had had run was lost. And what keepers began was bounded by number only: 192 attempts at 600 a second take 320 ms, when their entries wait for 300.

Change: entries let fewer programs begin by the share of turns that are refused or late, and tell callers to come back the later the fewer may. Where no turns are kept, all turns of a program are treated alike by its name. A keeper begins nothing while the oldest attempt in progress is older than 100 ms, if there are 32 or more.

--- a/crates/gradedyke-gateway/src/demand.rs
+++ b/crates/gradedyke-gateway/src/demand.rs
@@ -6,6 +6,8 @@
 
 use tokio::time::Instant;
 
+use crate::decay::Count;
+
 /// Time in which what was seen counts half: several times what a program takes, and
 /// short enough to follow work that changes with the hour.
 const HALF: Duration = Duration::from_secs(20);
@@ -13,26 +15,6 @@
 /// a second.
 const SEEN: f64 = 4.0;
 
-/// A count that forgets.
-#[derive(Clone, Copy, Debug, Default)]
-struct Count {
-    value: f64,
-    at: Option<Instant>,
-}
-
-impl Count {
-    fn at(&self, now: Instant) -> f64 {
-        let Some(at) = self.at else { return 0.0 };
-        let halves = now.saturating_duration_since(at).as_secs_f64() / HALF.as_secs_f64();
-        self.value * 0.5_f64.powf(halves)
-    }
-
-    fn add(&mut self, now: Instant) {
-        self.value = self.at(now) + 1.0;
-        self.at = Some(now);
-    }
-}
-
 #[derive(Debug, Default)]
 struct Route {
     begun: Count,
@@ -58,22 +40,22 @@
     /// Notes a turn; whether it `begins` a program.
     pub fn turn(&self, route: &str, begins: bool, now: Instant) {
         let mut seen = self.lock();
-        seen.turns.add(now);
+        seen.turns.add(HALF, now);
         if !seen.routes.contains_key(route) {
             seen.routes.insert(route.to_owned(), Route::default());
         }
         let Some(route) = seen.routes.get_mut(route) else {
             return;
         };
-        route.turns.add(now);
+        route.turns.add(HALF, now);
         if begins {
-            route.begun.add(now);
+            route.begun.add(HALF, now);
         }
     }
 
     /// Notes a call of a program's tool.
     pub fn call(&self, now: Instant) {
-        self.lock().calls.add(now);
+        self.lock().calls.add(HALF, now);
     }
 
     /// Requests that a program of a route is expected to need, its calls too; 1 where too
@@ -97,13 +79,13 @@
         let Some(route) = seen.routes.get(route) else {
             return 1;
         };
-        let begun = route.begun.at(now);
-        let turns = seen.turns.at(now);
+        let begun = route.begun.at(HALF, now);
+        let turns = seen.turns.at(HALF, now);
         if begun < SEEN || turns < SEEN {
             return 1;
         }
-        let calls = seen.calls.at(now) / turns;
-        let requests = route.turns.at(now) / begun * (1.0 + calls);
+        let calls = seen.calls.at(HALF, now) / turns;
+        let requests = route.turns.at(HALF, now) / begun * (1.0 + calls);
         requests.round().clamp(1.0, f64::from(u32::MAX)) as u32
     }
 }
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -39,6 +39,7 @@
 use crate::dialect::{Dialect, Meta};
 use crate::fleet::Fleet;
 use crate::mechanism::Enabled;
+use crate::throttle::Throttle;
 use call::Call;
 use refusal::Refusal;
 
@@ -81,6 +82,8 @@
     pub register: Register,
     /// How many requests programs need.
     pub demand: Demand,
+    /// How the keepers keep up.
+    pub throttle: Throttle,
     /// The mechanisms that are on.
     pub enabled: Enabled,
     /// Cancelled when the process begins to stop.
@@ -220,7 +223,10 @@
         served.map_err(|refusal| Refused {
             refusal,
             meta,
-            drain: self.drained(&refused),
+            drain: match refusal {
+                Refusal::Overload | Refusal::NoKeepers => self.throttle.wait(Instant::now()),
+                _ => self.drained(&refused),
+            },
         })
     }
 
@@ -334,7 +340,8 @@
 struct Refused {
     refusal: Refusal,
     meta: Meta,
-    /// In how long its service is expected to have a place.
+    /// In how long what it lacks is expected to be there: a place at its service, or
+    /// keepers that keep up.
     drain: Duration,
 }
 
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -30,6 +30,8 @@
     Full,
     /// The turns cannot be read or kept now; it has not run.
     NoKeepers,
+    /// The keepers have more to do than they can, and it would begin a program.
+    Overload,
     /// The turn that it continues does not exist.
     NoTurn,
     /// The program's budget is spent.
@@ -71,6 +73,7 @@
             Refusal::NoServer => "no_server",
             Refusal::Full => "full",
             Refusal::NoKeepers => "no_keepers",
+            Refusal::Overload => "overload",
             Refusal::NoTurn => "no_turn",
             Refusal::Spent => "spent",
             Refusal::TooLate => "too_late",
@@ -99,13 +102,15 @@
             | Refusal::NoServer
             | Refusal::Full
             | Refusal::NoKeepers
+            | Refusal::Overload
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     /// How long a caller should wait before it comes back, if that may help. Where
-    /// servers are full, they are expected to have a place in `drain`. `draw`, 0 to 1,
-    /// spreads callers.
+    /// servers are full they are expected to have a place in `drain`, and where keepers
+    /// have too much to do they are expected to keep up by then. `draw`, 0 to 1, spreads
+    /// callers.
     ///
     /// ```
     /// use gradedyke_gateway::entry::refusal::Refusal;
@@ -120,8 +125,8 @@
         let wait = match self {
             Refusal::NotStarted => STARTING,
             Refusal::Exceeded => ROOM,
-            Refusal::Full => drain.clamp(SOON, LONGEST),
-            Refusal::NoServer | Refusal::NoKeepers | Refusal::Unconfirmed => SOON,
+            Refusal::Full | Refusal::NoKeepers | Refusal::Overload => drain.clamp(SOON, LONGEST),
+            Refusal::NoServer | Refusal::Unconfirmed => SOON,
             _ => return None,
         };
         let spread = SPREAD.start + (SPREAD.end - SPREAD.start) * draw;
@@ -142,6 +147,9 @@
             Refusal::NoServer => "no backend server is available; come back soon",
             Refusal::Full => "the backend servers are full; come back soon",
             Refusal::NoKeepers => "the conversation cannot be kept now; come back soon",
+            Refusal::Overload => {
+                "no program can begin now, others under way go first; come back soon"
+            }
             Refusal::NoTurn => "there is no such turn; start a new conversation",
             Refusal::Spent => "the program's budget is spent; end it",
             Refusal::TooLate => "the time was over before the request could be sent",
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -22,6 +22,8 @@
 use super::refusal::Refusal;
 use super::relay;
 use super::source::Source;
+use crate::mechanism::Mechanism;
+use crate::throttle;
 
 /// Longest time that keepers which are there have for the exchange before a turn
 /// is sent: ten exchanges with a sync each; a caller does better elsewhere then.
@@ -63,11 +65,14 @@
 
 /// Reserves the budget and reads the conversation.
 async fn begin(entry: &Arc<Entry>, call: &Call) -> Result<(Option<Chain>, Ledger), Refusal> {
+    let started = Instant::now();
+    if !admitted(entry, call, started) {
+        return Err(Refusal::Overload);
+    }
     let reserve = reserve(call);
     let ledger = Ledger::new(reserve.as_ref().map(|(r, _)| r.clone()));
     let parent = call.route.retention.and(call.meta.parent.as_ref());
     let parent = parent.map(|p| call.scope(p));
-    let started = Instant::now();
     let told = call.counted.map(|c| entry.register.report(&c, started));
     let (usage, mark) = told.unzip();
     let ask = Ask {
@@ -82,6 +87,7 @@
     metrics::histogram!("gradedyke_begin_seconds").record(started.elapsed().as_secs_f64());
     match begun {
         Ok(begun) => {
+            entry.throttle.let_in(begun.took, Instant::now());
             if let Some(load) = begun.load {
                 entry.fleet.learn(&load, Instant::now());
             }
@@ -100,6 +106,15 @@
                 parent = call.meta.parent.as_ref().map_or("none", |p| p.as_str()),
                 view = entry.quorum.view().version,
                 waited_ms = started.elapsed().as_millis(), %error);
+            // Keepers that are gone, or that start, are no sign of too much to do.
+            let overload = match error {
+                quorum::Refusal::Busy => true,
+                quorum::Refusal::NoQuorum { .. } => entry.quorum.reachable(),
+                _ => false,
+            };
+            if overload {
+                entry.throttle.refused(Instant::now());
+            }
             Err(match error {
                 quorum::Refusal::NoTurn => Refusal::NoTurn,
                 quorum::Refusal::Spent { .. } => Refusal::Spent,
@@ -112,6 +127,21 @@
     }
 }
 
+/// Whether the turn may go on while keepers have more to do than they can. One that
+/// continues a program may; where no turns are kept, nothing tells which one begins a
+/// program, so all turns of one are treated alike.
+fn admitted(entry: &Entry, call: &Call, now: Instant) -> bool {
+    let keeps = call.route.retention.is_some();
+    if !entry.enabled.has(Mechanism::Throttle) || keeps && call.meta.parent.is_some() {
+        return true;
+    }
+    let draw = match &call.meta.program {
+        Some(program) if !keeps => throttle::draw(program),
+        _ => rand::random(),
+    };
+    entry.throttle.admits(draw, now)
+}
+
 /// What an attempt reserves, with the whole budget.
 fn reserve(call: &Call) -> Option<(Reserved, u64)> {
     let budget = call.meta.budget?;
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -18,9 +18,10 @@
 //!   [`prefix`]: what it holds of prompts; [`estimate`]: usual times;
 //!   [`placement`]: which of them runs a request.
 //! - [`allowance`]: whether a request is within its account's allowance; [`demand`]: how
-//!   many requests a program needs.
+//!   many requests a program needs; [`throttle`]: whether one may begin while keepers have
+//!   more to do than they can.
 //! - [`mechanism`]: what of all this can be switched off, to measure its worth.
-//! - [`window`]: sums over the last seconds.
+//! - [`window`]: sums over the last seconds; [`decay`]: counts that forget.
 //! - [`link`]: connections to backend servers.
 //! - [`event`]: events within a stream.
 //! - [`entry`]: requests from their head to their last byte.
@@ -29,6 +30,7 @@
 pub mod account;
 pub mod allowance;
 pub mod config;
+pub mod decay;
 pub mod demand;
 pub mod dialect;
 pub mod entry;
@@ -44,4 +46,5 @@
 pub mod prefix;
 pub mod process;
 pub mod settings;
+pub mod throttle;
 pub mod window;
--- a/crates/gradedyke-gateway/src/mechanism.rs
+++ b/crates/gradedyke-gateway/src/mechanism.rs
@@ -39,6 +39,8 @@
     Urgency,
     /// Programs that an account's allowance has no room for are refused at their first turn.
     WholePrograms,
+    /// Fewer programs begin while keepers have more to do than they can.
+    Throttle,
 }
 
 /// The mechanisms that are on.
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -30,6 +30,7 @@
 use crate::fleet::Fleet;
 use crate::mechanism::Enabled;
 use crate::settings::Settings;
+use crate::throttle::Throttle;
 use crate::{meter, news, placement};
 
 /// What surrounds a process.
@@ -144,6 +145,7 @@
             quorum: quorum.clone(),
             register: Register::new(rand::random(), settings.allowance_window(), Instant::now()),
             demand: Demand::default(),
+            throttle: Throttle::default(),
             enabled,
             drain: CancellationToken::new(),
             configured: Mutex::default(),
--- /dev/null
+++ b/crates/gradedyke-turns/src/backlog.rs
@@ -0,0 +1,74 @@
+//! What a replica has begun and not answered yet.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Age of the oldest request above which nothing more is begun: a third of what its asker
+/// waits, so that what is begun is done in time. A bound on their number alone (192, at 600
+/// a second) had every answer come after 320 ms, when nobody waited for it.
+const STANDING: Duration = Duration::from_millis(100);
+/// Requests that may be in progress whatever their age: a sync's worth, so that one slow
+/// read does not turn others away.
+const FEW: usize = 32;
+
+#[derive(Debug, Default)]
+struct Requests {
+    next: u64,
+    since: BTreeMap<u64, Instant>,
+}
+
+/// Requests in progress, by when they began.
+#[derive(Debug, Default)]
+pub struct Backlog(Mutex<Requests>);
+
+/// A request in progress, until this is dropped.
+#[derive(Debug)]
+pub struct Active<'a> {
+    backlog: &'a Backlog,
+    number: u64,
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.backlog.lock().since.remove(&self.number);
+    }
+}
+
+impl Backlog {
+    fn lock(&self) -> MutexGuard<'_, Requests> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins a request, unless those in progress stand for too long.
+    ///
+    /// ```
+    /// use gradedyke_turns::backlog::Backlog;
+    /// use std::time::Duration;
+    ///
+    /// let now = tokio::time::Instant::now();
+    /// let backlog = Backlog::default();
+    /// let begun: Vec<_> = (0..40).map(|_| backlog.begin(now)).collect();
+    /// assert!(begun.iter().all(Option::is_some));
+    /// assert!(backlog.begin(now + Duration::from_millis(200)).is_none());
+    /// drop(begun);
+    /// assert!(backlog.begin(now + Duration::from_millis(200)).is_some());
+    /// ```
+    pub fn begin(&self, now: Instant) -> Option<Active<'_>> {
+        let mut requests = self.lock();
+        let oldest = requests.since.values().next();
+        let stands = oldest.is_some_and(|at| now.saturating_duration_since(*at) > STANDING);
+        if stands && requests.since.len() >= FEW {
+            return None;
+        }
+        let number = requests.next;
+        requests.next += 1;
+        requests.since.insert(number, now);
+        Some(Active {
+            backlog: self,
+            number,
+        })
+    }
+}
--- a/crates/gradedyke-turns/src/desk.rs
+++ b/crates/gradedyke-turns/src/desk.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::backlog::Backlog;
 use crate::feed;
 use crate::message::{self, Reply, Request};
 use crate::mirror::Mirror;
@@ -53,6 +54,7 @@
     replica: watch::Receiver<Option<Arc<Replica>>>,
     begins: AtomicUsize,
     others: AtomicUsize,
+    backlog: Backlog,
     tally: Mutex<Tally>,
 }
 
@@ -64,6 +66,7 @@
             replica,
             begins: AtomicUsize::new(0),
             others: AtomicUsize::new(0),
+            backlog: Backlog::default(),
             tally: Mutex::new(Tally::new(Instant::now())),
         }
     }
@@ -129,9 +132,7 @@
             return feed::tell_age(&self.mirror, Instant::now());
         }
         let Some(_active) = self.admit(&request, unread) else {
-            metrics::counter!("gradedyke_busy_total").increment(1);
-            self.tally().refuse();
-            return Reply::Busy;
+            return self.refuse();
         };
         let mut replica = self.replica.clone();
         let ready = replica.wait_for(Option::is_some);
@@ -145,12 +146,25 @@
         }
     }
 
+    fn refuse(&self) -> Reply {
+        metrics::counter!("gradedyke_busy_total").increment(1);
+        self.tally().refuse();
+        Reply::Busy
+    }
+
     async fn timed(&self, replica: &Replica, request: Request) -> Reply {
-        // One that reads may wait for news.
-        let waits = Kind::of(&request) == Kind::Read;
+        let kind = Kind::of(&request);
         let started = Instant::now();
+        let begun = match kind {
+            Kind::Begin => self.backlog.begin(started),
+            Kind::Keep | Kind::Read => None,
+        };
+        if kind == Kind::Begin && begun.is_none() {
+            return self.refuse();
+        }
         let reply = replica.answer(request).await;
-        if !waits {
+        // One that reads may wait for news.
+        if kind != Kind::Read {
             self.tally().answered(started.elapsed());
         }
         reply
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -21,8 +21,8 @@
 //!   [`body`]: what was said, as far as it is in memory; [`conversation`]: all of
 //!   it up to a turn.
 //! - [`desk`] and [`replica`]: the answering side; [`archive`] and [`recovery`]: how it serves
-//!   before it has read its disk; [`sync`]: replicas bring each other up to date; [`tally`]:
-//!   what one is asked.
+//!   before it has read its disk; [`sync`]: replicas bring each other up to date; [`tally`]
+//!   and [`backlog`]: what one is asked, and has begun.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
 //! - [`quorum`]: the asking side; [`detour`]: ways around a cut;
 //!   [`load`]: how busy backend servers are; [`usage`]: what client accounts have had.
@@ -32,6 +32,7 @@
 //! [`gradedyke_journal`]: https://docs.rs/gradedyke-journal
 
 pub mod archive;
+pub mod backlog;
 pub mod body;
 pub mod conversation;
 pub mod desk;
