--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -183,10 +183,16 @@
     *request.headers_mut() = entry.dialect.outbound(&call.headers, &outbound);
     let repeatable = call.route.repeatable();
     let sending = choice.pool.send(request, repeatable, now);
+    let sending = choice.gone.run_until_cancelled(sending);
     let sent = watched(entry, call, trail, &choice, sending).await;
     let (response, link) = match sent {
-        Waited::Came(Ok(sent)) => sent,
-        Waited::Came(Err(error)) => return failed(entry, call, &choice, &error),
+        Waited::Came(Some(Ok(sent))) => sent,
+        Waited::Came(Some(Err(error))) => return failed(entry, call, &choice, &error),
+        Waited::Came(None) => {
+            // The process that had it has ended, and no answer comes any more.
+            tracing::info!(event = "server_ended", request = %call.id, server = %choice.id);
+            return Outcome::Unknown;
+        }
         Waited::GivenUp => return Outcome::Unknown,
         Waited::TimedOut => {
             entry
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -225,8 +225,13 @@
         loop {
             let (until, leave) = self.patience();
             let frame = tokio::select! {
+                // What has arrived counts, whatever became of the server since.
+                biased;
                 frame = tokio::time::timeout_at(until, incoming.frame()) => frame,
                 () = self.sender.closed() => return End::CallerLeft,
+                () = self.choice.gone.cancelled() => {
+                    return End::Broken("its server started again".to_owned());
+                }
             };
             let data = match frame {
                 Err(_) if leave => return End::Silent,
@@ -332,7 +337,7 @@
             parent: self.call.meta.parent.as_ref().map(|p| self.call.scope(p)),
             input: self.call.body.clone(),
             output: self.output.split().freeze(),
-            server: self.choice.id.clone(),
+            server: self.choice.process.clone(),
             program: self.ledger.program(),
             tokens: self.tokens,
             keep_ms: keep_ms(&self.call),
--- a/crates/gradedyke-gateway/src/fleet/known.rs
+++ b/crates/gradedyke-gateway/src/fleet/known.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use gradedyke_turns::load::Busy;
+use gradedyke_turns::record::Id;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::Server;
 use crate::estimate::Pace;
@@ -23,6 +25,10 @@
 /// the 2 s in which requests must have stopped.
 const VANISHED: Duration = Duration::from_millis(1_000);
 
+/// Former processes of a server that are remembered: as many as may be replaced within the
+/// seconds that a write of one takes to arrive late.
+const FORMER: usize = 8;
+
 /// What the directory says of a server's item.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum State {
@@ -35,6 +41,14 @@
 /// A server and what is believed of it.
 pub(super) struct Known {
     pub(super) server: Server,
+    /// The name of its process.
+    pub(super) process: Id,
+    /// When processes of the server started that this one replaced, the latest last.
+    pub(super) former_ms: Vec<u64>,
+    /// Cancelled when the process has ended.
+    pub(super) ended: CancellationToken,
+    /// Its entry cannot be read: it gets nothing new.
+    pub(super) unread: bool,
     pub(super) state: State,
     pub(super) pool: Arc<Pool>,
     pub(super) in_flight: u32,
@@ -54,6 +68,10 @@
     pub(super) fn new(server: Server) -> Self {
         Self {
             state: State::Listed,
+            process: server.process(),
+            former_ms: Vec::new(),
+            ended: CancellationToken::new(),
+            unread: false,
             pool: Arc::new(Pool::new(server.address)),
             in_flight: 0,
             others: Busy::default(),
@@ -65,6 +83,31 @@
         }
     }
 
+    /// Whether an entry is that of a process which this one replaced: a write of it may
+    /// arrive late. Neither the store's order of writes nor the times of the starts tell
+    /// that, since clocks may be set back.
+    pub(super) fn replaced_before(&self, server: &Server) -> bool {
+        let started_ms = server.started_ms;
+        started_ms.is_some_and(|ms| self.former_ms.contains(&ms))
+    }
+
+    /// Whether an entry is that of another process than this one.
+    pub(super) fn another(&self, server: &Server) -> bool {
+        self.server.started_ms != server.started_ms
+    }
+
+    /// The process that starts after this one has ended.
+    pub(super) fn successor(&self, server: Server) -> Self {
+        let mut former_ms = self.former_ms.clone();
+        former_ms.extend(self.server.started_ms);
+        let extra = former_ms.len().saturating_sub(FORMER);
+        former_ms.drain(..extra);
+        Self {
+            former_ms,
+            ..Self::new(server)
+        }
+    }
+
     /// Whether a server that vanished is no longer even a last resort. Without
     /// the directory nothing is certain; after its return, living servers need
     /// a moment to write their items again.
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 use gradedyke_turns::record::Id;
 use slotmap::new_key_type;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
 use crate::estimate::{self, Pace, Stream, Times};
@@ -42,8 +43,11 @@
 /// A backend server as the directory lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
-    /// Its identity, new with each start.
+    /// Its identity. It may start again under it.
     pub id: Id,
+    /// When its process started, in Unix milliseconds, if the directory says so. It tells
+    /// processes of one server apart, and nothing else: clocks may be set back.
+    pub started_ms: Option<u64>,
     /// The service it belongs to.
     pub service: String,
     /// Where it listens.
@@ -56,6 +60,33 @@
     pub leaving: bool,
 }
 
+impl Server {
+    /// The name of its process. Whatever is learned of a server is learned of that: one
+    /// that started again holds nothing of before.
+    ///
+    /// ```
+    /// use gradedyke_gateway::fleet::Server;
+    /// use gradedyke_turns::record::Id;
+    ///
+    /// let server = |started_ms| Server {
+    ///     id: Id::parse("s").unwrap(),
+    ///     started_ms,
+    ///     service: "tool".to_owned(),
+    ///     address: "127.0.0.1:9".parse().unwrap(),
+    ///     data_centre: "here".to_owned(),
+    ///     slots: 4,
+    ///     leaving: false,
+    /// };
+    /// assert_eq!(server(None).process().as_str(), "s");
+    /// assert_ne!(server(Some(1)).process(), server(Some(2)).process());
+    /// ```
+    pub fn process(&self) -> Id {
+        let started = self.started_ms.map(|ms| format!("{}/{ms}", self.id));
+        let process = started.as_deref().and_then(Id::parse);
+        process.unwrap_or_else(|| self.id.clone())
+    }
+}
+
 /// What is asked of the fleet.
 #[derive(Clone, Debug)]
 pub struct Question<'a> {
@@ -65,7 +96,7 @@
     pub request: &'a Id,
     /// Servers that have had this request already.
     pub tried: &'a [Key],
-    /// The server whose cache holds the conversation.
+    /// The process of the server whose cache holds the conversation.
     pub holder: Option<&'a Id>,
     /// Tokens of the prompt, 0 for a plain service.
     pub prompt_tokens: u64,
@@ -90,6 +121,10 @@
     pub key: Key,
     /// Its identity.
     pub id: Id,
+    /// The name of its process.
+    pub process: Id,
+    /// Cancelled when it is known that this process has gone.
+    pub gone: CancellationToken,
     /// Connections to it.
     pub pool: Arc<Pool>,
     /// When it was chosen.
@@ -172,7 +207,8 @@
         match dialect.server(&item.key, value) {
             Ok(server) => servers.list(server),
             Err(error) => {
-                tracing::warn!(event = "server_not_read", server = %id, %error);
+                metrics::counter!("gradedyke_servers_not_read_total").increment(1);
+                servers.unread(&id, &error);
             }
         }
     }
@@ -216,6 +252,8 @@
             fleet: self.clone(),
             key,
             id: known.server.id.clone(),
+            process: known.process.clone(),
+            gone: known.ended.clone(),
             pool: known.pool.clone(),
             since: question.now,
             view,
@@ -241,7 +279,7 @@
             let told = known.health.told(now);
             let pace = known.pace.sum(now);
             Busy {
-                server: load::server(&known.server.id),
+                server: load::server(&known.process),
                 requests: known.in_flight,
                 failures: told.counts.failures,
                 ended: told.counts.requests,
@@ -268,13 +306,13 @@
         servers.told = Some(now);
         let told: HashMap<load::Server, Busy> = load.iter().map(|b| (b.server, *b)).collect();
         for known in servers.servers.values_mut() {
-            let server = load::server(&known.server.id);
+            let server = load::server(&known.process);
             known.others = told.get(&server).copied().unwrap_or_default();
         }
     }
 
     fn candidate(&self, known: &Known, question: &Question<'_>, times: Times) -> Candidate {
-        let holds = question.holder == Some(&known.server.id);
+        let holds = question.holder == Some(&known.process);
         let held = if holds { question.held_tokens } else { 0 };
         let unread = question.prompt_tokens.saturating_sub(held);
         let unread = match question.parts {
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -1,6 +1,7 @@
 //! The servers there are, by identity and by service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
 use gradedyke_turns::load::Busy;
 use gradedyke_turns::record::Id;
@@ -9,7 +10,20 @@
 
 use super::known::{Known, State};
 use super::{Key, Question, Server};
+use crate::dialect::Invalid;
 use crate::estimate::{self, Times};
+use crate::link::Pool;
+
+/// Unreadable entries of unknown servers that are remembered, for one log line each.
+const UNREAD: usize = 1_024;
+
+/// Says that an entry lacks the start that its server has always told.
+fn unsigned(id: &Id) -> Invalid {
+    Invalid {
+        what: id.to_string(),
+        cause: "it does not say when the server started, as before".to_owned(),
+    }
+}
 
 /// The servers, and what was learned of their services.
 #[derive(Default)]
@@ -19,6 +33,8 @@
     pub(super) by_service: HashMap<String, Vec<Key>>,
     /// What was learned of each service.
     pub(super) learned: HashMap<String, estimate::Service>,
+    /// Entries that cannot be read and whose server was never known.
+    unread: HashSet<Id>,
     /// When it was last told what other entries have in progress.
     pub(super) told: Option<Instant>,
 }
@@ -39,8 +55,26 @@
     }
 
     pub(super) fn list(&mut self, server: Server) {
-        if let Some(known) = self.by_id.get(&server.id).copied() {
-            let known = &mut self.servers[known];
+        self.unread.remove(&server.id);
+        if let Some(key) = self.by_id.get(&server.id).copied() {
+            let known = &mut self.servers[key];
+            if known.replaced_before(&server) {
+                return;
+            }
+            if known.server.started_ms.is_some() && server.started_ms.is_none() {
+                return self.unread(&server.id, &unsigned(&server.id));
+            }
+            if known.another(&server) {
+                return self.restart(key, server);
+            }
+            if known.unread {
+                tracing::info!(event = "server_read", server = %server.id);
+                known.unread = false;
+            }
+            if known.server.address != server.address {
+                known.pool.clear();
+                known.pool = Arc::new(Pool::new(server.address));
+            }
             if known.server.leaving != server.leaving {
                 tracing::info!(event = "server_changed", server = %server.id,
                     leaving = server.leaving);
@@ -58,7 +92,41 @@
         self.by_service.entry(service).or_default().push(key);
     }
 
+    /// Puts a new process in the place of one that has ended. Nothing of what was learned
+    /// of that one holds for it.
+    fn restart(&mut self, former: Key, server: Server) {
+        let Some(known) = self.servers.remove(former) else {
+            return;
+        };
+        tracing::info!(event = "server_restarted", server = %server.id,
+            address = %server.address, started_ms = server.started_ms,
+            former_ms = known.server.started_ms);
+        known.pool.clear();
+        known.ended.cancel();
+        if let Some(keys) = self.by_service.get_mut(&known.server.service) {
+            keys.retain(|k| *k != former);
+        }
+        let (id, service) = (server.id.clone(), server.service.clone());
+        let key = self.servers.insert(known.successor(server));
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    /// Takes in that an entry cannot be read. Its server gets nothing new, and what is in
+    /// progress there may end. One line tells of it until the entry can be read again.
+    pub(super) fn unread(&mut self, id: &Id, error: &Invalid) {
+        let known = self.by_id.get(id).copied();
+        let first = match known.and_then(|key| self.servers.get_mut(key)) {
+            Some(known) => !std::mem::replace(&mut known.unread, true),
+            None => self.unread.len() < UNREAD && self.unread.insert(id.clone()),
+        };
+        if first {
+            tracing::warn!(event = "server_not_read", server = %id, %error);
+        }
+    }
+
     pub(super) fn vanish(&mut self, id: &Id, learned: Instant) {
+        self.unread.remove(id);
         let Some(known) = self.by_id.get(id).copied() else {
             return;
         };
@@ -94,7 +162,10 @@
         };
         let open = |key: &&Key| {
             let known = &self.servers[**key];
-            !known.server.leaving && !known.replaced && !question.tried.contains(key)
+            !known.server.leaving
+                && !known.unread
+                && !known.replaced
+                && !question.tried.contains(key)
         };
         let open: Vec<Key> = keys.iter().filter(open).copied().collect();
         let best = open.iter().map(rank).min();
--- a/crates/gradedyke-load/src/decision.rs
+++ b/crates/gradedyke-load/src/decision.rs
@@ -36,6 +36,7 @@
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
             data_centre: "here".to_owned(),
             slots: 16,
+            started_ms: None,
             leaving: false,
         };
         fleet.list(server);
--- a/crates/gradedyke-model/src/world.rs
+++ b/crates/gradedyke-model/src/world.rs
@@ -172,6 +172,7 @@
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
             data_centre: "here".to_owned(),
             slots: setup.figures.slots,
+            started_ms: None,
             leaving: false,
         };
         fleet.list(server);
