Waits between tries at keepers double

The same cause elsewhere: a turn that had run was brought to busy keepers every 25 ms for 2 s (231 requests for one turn, 30 at most now); a request that needs a sum of use asked every 40 ms for a second, and turns that wait for keepers which start did the same. One Backoff for all of them and for settlements.

--- a/crates/gradedyke-gateway/src/entry/admission.rs
+++ b/crates/gradedyke-gateway/src/entry/admission.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gradedyke_turns::backoff::Backoff;
 use gradedyke_turns::usage::Total;
 use tokio::time::Instant;
 
@@ -19,8 +20,9 @@
 const ASK: Duration = Duration::from_millis(100);
 /// Longest wait for keepers that were lost a moment ago, as for those that begin a turn.
 const RESTART: Duration = Duration::from_millis(1_000);
-/// Wait before they are asked again.
+/// Wait before they are asked again, the first time and at most.
 const AGAIN: Duration = Duration::from_millis(40);
+const LONGEST: Duration = Duration::from_millis(400);
 
 impl Entry {
     /// Counts a request, if its account is limited.
@@ -86,6 +88,7 @@
             Verdict::Unknown => {}
         }
         let end = call.until.min(now + RESTART);
+        let mut backoff = Backoff::new(AGAIN, LONGEST);
         loop {
             metrics::counter!("gradedyke_usage_asked_total").increment(1);
             let (report, mark) = self.register.report(counted, Instant::now());
@@ -102,7 +105,7 @@
             if now + AGAIN >= end {
                 return Err(Refusal::NoKeepers);
             }
-            tokio::time::sleep(AGAIN).await;
+            tokio::time::sleep(backoff.wait()).await;
         }
     }
 }
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use self::gathered::Gathered;
+use crate::backoff::Backoff;
 use crate::conversation::Chain;
 use crate::detour::Way;
 use crate::load::{Busy, Report};
@@ -32,8 +33,16 @@
 /// How long the nearest replica's copy of a conversation is waited for after
 /// the majority has answered, before another is asked.
 const PATIENCE: Duration = Duration::from_millis(25);
-/// Wait before a majority that was lost is asked again.
+/// Wait before a majority that was lost is asked again, the first time.
 const AGAIN: Duration = Duration::from_millis(40);
+/// The longest wait for replicas that start: they serve a tenth of a second after their
+/// start, and a thousand turns that wait for them must not be their first load.
+const SOONEST: Duration = Duration::from_millis(160);
+/// Wait before a record is brought to a majority again, the first time: a few syncs of a
+/// slow disk.
+const KEPT_AGAIN: Duration = Duration::from_millis(50);
+/// The longest such wait: callers are held meanwhile, for 2 s at most.
+const LONGEST: Duration = Duration::from_millis(600);
 /// Wait before replicas that have too much to do are asked once more: what an exchange
 /// may take in a burst. Asked every 40 ms, they got seven requests for one, and
 /// had more to do the more they refused.
@@ -350,6 +359,7 @@
     async fn begin_soon(&self, ask: &Ask, doubt: &mut bool) -> Result<Begun, Refusal> {
         let soon = ask.until.min(Instant::now() + ask.time);
         let mut relieved = false;
+        let mut backoff = Backoff::new(AGAIN, SOONEST);
         loop {
             let view = self.view();
             let asked = Instant::now();
@@ -369,7 +379,7 @@
             let away = starting || !self.reachable();
             let again = missed && away && self.lately_lost(now);
             if again && now + AGAIN < ask.until {
-                tokio::time::sleep(AGAIN).await;
+                tokio::time::sleep(backoff.wait()).await;
                 continue;
             }
             if !missed {
@@ -515,6 +525,7 @@
         usage: Option<&usage::Report>,
         until: Instant,
     ) -> Result<Option<Total>, Refusal> {
+        let mut backoff = Backoff::new(KEPT_AGAIN, LONGEST);
         loop {
             let view = self.view();
             let request = message::encode(&Request::Keep {
@@ -525,7 +536,7 @@
             metrics::counter!("gradedyke_kept_tries_total").increment(1);
             match self.tell(&view, request, until).await {
                 Some(Err(_)) if Instant::now() < until => {
-                    tokio::time::sleep(PATIENCE).await;
+                    tokio::time::sleep(backoff.wait()).await;
                 }
                 Some(result) => return result,
                 None => {}
--- a/crates/gradedyke-turns/src/quorum/settle.rs
+++ b/crates/gradedyke-turns/src/quorum/settle.rs
@@ -10,10 +10,10 @@
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use rand::RngExt;
 use tokio::time::Instant;
 
 use super::{CALL, Quorum, Refusal};
+use crate::backoff::Backoff;
 use crate::message::{self, Request};
 use crate::record::{Record, Settled};
 
@@ -28,9 +28,6 @@
 const FIRST: Duration = Duration::from_millis(50);
 /// The longest such wait.
 const LONGEST: Duration = Duration::from_secs(2);
-/// How far waits differ, as shares of what they would be: entries that lost the replicas
-/// together must not come back together.
-const SPREAD: std::ops::Range<f64> = 0.5..1.5;
 
 struct Waiting {
     settled: Settled,
@@ -109,7 +106,7 @@
     }
 
     async fn settle_all(self: Arc<Self>) {
-        let mut wait = FIRST;
+        let mut backoff = Backoff::new(FIRST, LONGEST);
         loop {
             let next = self.settlements().next(Instant::now());
             if next.is_empty() {
@@ -117,12 +114,10 @@
             }
             if self.keep_all(&next).await.is_ok() {
                 self.settlements().forget(&next);
-                wait = FIRST;
+                backoff.reset();
                 continue;
             }
-            let spread = rand::rng().random_range(SPREAD);
-            tokio::time::sleep(wait.mul_f64(spread)).await;
-            wait = (wait * 2).min(LONGEST);
+            tokio::time::sleep(backoff.wait()).await;
         }
     }
 
