One Backoff, in the base crate

The product's own interface had one with the same job; both paths use it now. Its waits are spread from half to the whole of their length, so the longest wait before a record is brought again is 1 s in place of 0.6.

--- a/crates/gradedyke-base/src/lib.rs
+++ b/crates/gradedyke-base/src/lib.rs
@@ -6,8 +6,10 @@
 //!
 //! - [`id`]: small typed identifiers, and the hash from a program to its slot.
 //! - [`problem`]: the error that callers and operators see.
+//! - [`retry`]: when and how often to try again.
 //! - [`settings`]: JSON-with-comments settings of an instance and of the tree.
 
 pub mod id;
 pub mod problem;
+pub mod retry;
 pub mod settings;
--- a/crates/gradedyke-gateway/src/entry/admission.rs
+++ b/crates/gradedyke-gateway/src/entry/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gradedyke_turns::backoff::Backoff;
+use gradedyke_base::retry::Backoff;
 use gradedyke_turns::usage::Total;
 use tokio::time::Instant;
 
@@ -88,7 +88,7 @@
             Verdict::Unknown => {}
         }
         let end = call.until.min(now + RESTART);
-        let mut backoff = Backoff::new(AGAIN, LONGEST);
+        let mut backoff = Backoff::endless(AGAIN, LONGEST);
         loop {
             metrics::counter!("gradedyke_usage_asked_total").increment(1);
             let (report, mark) = self.register.report(counted, Instant::now());
@@ -105,7 +105,7 @@
             if now + AGAIN >= end {
                 return Err(Refusal::NoKeepers);
             }
-            tokio::time::sleep(backoff.wait()).await;
+            tokio::time::sleep(backoff.step(rand::random())).await;
         }
     }
 }
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -24,8 +24,7 @@
 //!   before it has read its disk; [`sync`]: replicas bring each other up to date; [`tally`]
 //!   and [`backlog`]: what one is asked, and has begun.
 //! - [`view`]: who the replicas are; [`membership`]: how that changes.
-//! - [`quorum`]: the asking side; [`backoff`]: waits between its tries; [`detour`]: ways
-//!   around a cut;
+//! - [`quorum`]: the asking side; [`detour`]: ways around a cut;
 //!   [`load`]: how busy backend servers are; [`usage`]: what client accounts have had.
 //! - [`mirror`]: a copy of the platform's service; [`feed`]: how it spreads;
 //!   [`snapshot`]: its copy on disk.
@@ -34,7 +33,6 @@
 
 pub mod archive;
 pub mod backlog;
-pub mod backoff;
 pub mod body;
 pub mod conversation;
 pub mod desk;
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -11,12 +11,12 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
+use gradedyke_base::retry::Backoff;
 use gradedyke_peer::Client;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use self::gathered::Gathered;
-use crate::backoff::Backoff;
 use crate::conversation::Chain;
 use crate::detour::Way;
 use crate::load::{Busy, Report};
@@ -42,7 +42,7 @@
 /// slow disk.
 const KEPT_AGAIN: Duration = Duration::from_millis(50);
 /// The longest such wait: callers are held meanwhile, for 2 s at most.
-const LONGEST: Duration = Duration::from_millis(600);
+const LONGEST: Duration = Duration::from_millis(1_000);
 /// Wait before replicas that have too much to do are asked once more: what an exchange
 /// may take in a burst. Asked every 40 ms, they got seven requests for one, and
 /// had more to do the more they refused.
@@ -359,7 +359,7 @@
     async fn begin_soon(&self, ask: &Ask, doubt: &mut bool) -> Result<Begun, Refusal> {
         let soon = ask.until.min(Instant::now() + ask.time);
         let mut relieved = false;
-        let mut backoff = Backoff::new(AGAIN, SOONEST);
+        let mut backoff = Backoff::endless(AGAIN, SOONEST);
         loop {
             let view = self.view();
             let asked = Instant::now();
@@ -379,7 +379,7 @@
             let away = starting || !self.reachable();
             let again = missed && away && self.lately_lost(now);
             if again && now + AGAIN < ask.until {
-                tokio::time::sleep(backoff.wait()).await;
+                tokio::time::sleep(backoff.step(rand::random())).await;
                 continue;
             }
             if !missed {
@@ -525,7 +525,7 @@
         usage: Option<&usage::Report>,
         until: Instant,
     ) -> Result<Option<Total>, Refusal> {
-        let mut backoff = Backoff::new(KEPT_AGAIN, LONGEST);
+        let mut backoff = Backoff::endless(KEPT_AGAIN, LONGEST);
         loop {
             let view = self.view();
             let request = message::encode(&Request::Keep {
@@ -536,7 +536,7 @@
             metrics::counter!("gradedyke_kept_tries_total").increment(1);
             match self.tell(&view, request, until).await {
                 Some(Err(_)) if Instant::now() < until => {
-                    tokio::time::sleep(backoff.wait()).await;
+                    tokio::time::sleep(backoff.step(rand::random())).await;
                 }
                 Some(result) => return result,
                 None => {}
--- a/crates/gradedyke-turns/src/quorum/settle.rs
+++ b/crates/gradedyke-turns/src/quorum/settle.rs
@@ -10,10 +10,10 @@
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use gradedyke_base::retry::Backoff;
 use tokio::time::Instant;
 
 use super::{CALL, Quorum, Refusal};
-use crate::backoff::Backoff;
 use crate::message::{self, Request};
 use crate::record::{Record, Settled};
 
@@ -106,7 +106,7 @@
     }
 
     async fn settle_all(self: Arc<Self>) {
-        let mut backoff = Backoff::new(FIRST, LONGEST);
+        let mut backoff = Backoff::endless(FIRST, LONGEST);
         loop {
             let next = self.settlements().next(Instant::now());
             if next.is_empty() {
@@ -114,10 +114,10 @@
             }
             if self.keep_all(&next).await.is_ok() {
                 self.settlements().forget(&next);
-                backoff.reset();
+                backoff = Backoff::endless(FIRST, LONGEST);
                 continue;
             }
-            tokio::time::sleep(backoff.wait()).await;
+            tokio::time::sleep(backoff.step(rand::random())).await;
         }
     }
 
--- a/crates/gradedyke/src/entry/relay.rs
+++ b/crates/gradedyke/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_base::retry::Backoff;
 use gradedyke_http::{body, client, reply};
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
@@ -16,7 +17,6 @@
 use tokio::time::Instant;
 
 use super::Entry;
-use crate::retry::Backoff;
 use crate::wire::{CALLS, Call, Frame, MODEL, Outcome, Reader};
 
 /// How long an entry looks for the owner of a program before it gives up: a
--- a/crates/gradedyke/src/lib.rs
+++ b/crates/gradedyke/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`admin`] serves operators.
 //!
 //! What they share: [`membership`] and [`ownership`] in the key-value service,
-//! [`current`] settings, the state of a [`program`], [`routing`], [`retry`], and
+//! [`current`] settings, the state of a [`program`], [`routing`], and
 //! the [`wire`] between entry and owner.
 
 pub mod admin;
@@ -25,7 +25,6 @@
 pub mod owner;
 pub mod ownership;
 pub mod program;
-pub mod retry;
 pub mod routing;
 mod watching;
 pub mod wire;
--- a/crates/gradedyke/src/owner/attempt.rs
+++ b/crates/gradedyke/src/owner/attempt.rs
@@ -6,10 +6,10 @@
 use gradedyke_backend::Error;
 use gradedyke_backend::chat::{Chunk, Completion, Usage};
 use gradedyke_backend::engine::{Call, Chunks};
+use gradedyke_base::retry::Backoff;
 use tokio::time::Instant;
 
 use super::run::Context;
-use crate::retry::Backoff;
 use crate::routing::fleet::{Choice, Link};
 
 /// Times that a cut stream is resumed at the same engine.
--- a/crates/gradedyke/src/owner/chat.rs
+++ b/crates/gradedyke/src/owner/chat.rs
@@ -11,6 +11,7 @@
 use gradedyke_backend::engine::{Call, Pin};
 use gradedyke_backend::prefix::Chain;
 use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_base::retry::Backoff;
 use gradedyke_base::settings::tree::Class;
 use tokio::time::Instant;
 
@@ -18,7 +19,6 @@
 use super::run::{Context, Finished, Stop, cancelled};
 use super::session::Conversation;
 use crate::program::record::Intent;
-use crate::retry::Backoff;
 use crate::routing::Question;
 use crate::routing::fleet::{Choice, Key, Link};
 use crate::wire::{History, Outcome, Work};
--- a/crates/gradedyke/src/owner/tool.rs
+++ b/crates/gradedyke/src/owner/tool.rs
@@ -10,12 +10,12 @@
 
 use gradedyke_backend::{Error, Service, service};
 use gradedyke_base::problem::{Kind, Problem};
+use gradedyke_base::retry::Backoff;
 use tokio::time::Instant;
 
 use super::accept::idempotency_key;
 use super::run::{Context, Finished, Stop};
 use crate::program::record::Intent;
-use crate::retry::Backoff;
 use crate::routing::Question;
 use crate::routing::fleet::{Choice, Key, Link};
 use crate::wire::{Outcome, Work};
