--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -46,7 +46,7 @@
 
 /// Wait asked of a caller whose request has not run, where the cause may go
 /// away with a single server or replica: a connect's time.
-const SOON: Duration = Duration::from_millis(250);
+pub(crate) const SOON: Duration = Duration::from_millis(250);
 /// Longest wait asked for servers that are full: callers have tries for a few
 /// seconds, and what is expected that far ahead is a guess.
 const LONGEST: Duration = Duration::from_secs(2);
--- a/crates/gradedyke-gateway/src/throttle.rs
+++ b/crates/gradedyke-gateway/src/throttle.rs
@@ -15,6 +15,8 @@
 use gradedyke_turns::record::Id;
 use tokio::time::Instant;
 
+use crate::entry::refusal::SOON;
+
 /// Time in which refusals and turns let in count half: two waits of callers that were told
 /// to come back, so that a burst is met in its first second.
 const HALF: Duration = Duration::from_millis(500);
@@ -33,11 +35,6 @@
 const TOLD: Duration = Duration::from_millis(1_000);
 /// Least share of programs that may begin, to see whether keepers have caught up.
 const TRIES: f64 = 0.05;
-/// Wait asked of a caller whose program may begin without any throttling: a connect's
-/// time. It grows as fewer may.
-const SOON: Duration = Duration::from_millis(250);
-/// Longest wait asked: callers have tries for a few seconds.
-const LONGEST: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
@@ -127,7 +124,8 @@
         draw < self.share(now)
     }
 
-    /// How long a caller should wait that was refused for want of keepers.
+    /// In how long a caller that was refused for want of keepers may expect to be let in:
+    /// the longer, the fewer programs may begin.
     ///
     /// ```
     /// use gradedyke_gateway::throttle::Throttle;
@@ -138,6 +136,6 @@
     /// assert_eq!(wait, Duration::from_millis(250));
     /// ```
     pub fn wait(&self, now: Instant) -> Duration {
-        SOON.div_f64(self.share(now)).min(LONGEST)
+        SOON.div_f64(self.share(now))
     }
 }
