Sight: which configuration an entry has, how old it is, from whom; who reads the platform's store

No decision is changed. Entries tell the version in force and its age as gauges and with each refusal, from whom they hear (a keeper or another entry), and when they begin and end to read the platform's store. The feed asks others through a trait (feed::Peers), so that it can be played with a clock of its own; the wiring of an entry's news is a type beside the keeper's.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -136,6 +136,16 @@
         Some(arrived.saturating_duration_since(vouched))
     }
 
+    /// Shows which configuration is in force here, and how old what is known is.
+    pub fn gauge(&self, now: Instant) {
+        if let Some(config) = &*self.config.load() {
+            metrics::gauge!("gradedyke_config_version").set(config.version as f64);
+        }
+        if let Some(age) = self.age(now) {
+            metrics::gauge!("gradedyke_config_age_seconds").set(age.as_secs_f64());
+        }
+    }
+
     /// The configuration that the mirror holds now: what it knows of keys is to be as
     /// young as the mirror itself.
     fn latest(&self) -> Option<Arc<Config>> {
@@ -346,7 +356,12 @@
 }
 
 impl Refused {
-    fn answer(&self, waited: Duration, config: Option<u64>) -> Response<Body> {
+    fn answer(
+        &self,
+        waited: Duration,
+        config: Option<u64>,
+        age: Option<Duration>,
+    ) -> Response<Body> {
         let name = |id: Option<&Id>| id.map_or_else(String::new, |id| id.as_str().to_owned());
         let after = self.refusal.retry_after(self.drain, rand::random());
         tracing::info!(
@@ -357,7 +372,8 @@
             waited_ms = waited.as_millis(),
             drain_ms = self.drain.as_millis(),
             retry_after_ms = after.map(|a| a.as_millis()),
-            config
+            config,
+            config_age_ms = age.map(|a| a.as_millis())
         );
         self.refusal.answer(after)
     }
@@ -383,7 +399,7 @@
         metrics::histogram!("gradedyke_head_seconds").record(seconds);
         let mut response = served.unwrap_or_else(|refused| {
             let config = entry.config.load().as_ref().map(|c| c.version);
-            refused.answer(arrived.elapsed(), config)
+            refused.answer(arrived.elapsed(), config, entry.age(arrived))
         });
         // Callers that stay on this connection are better served elsewhere.
         let elsewhere = outcome != "answered" && !entry.ready();
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`link`]: connections to backend servers.
 //! - [`event`]: events within a stream.
 //! - [`entry`]: requests from their head to their last byte.
+//! - [`news`]: where a process learns from what the platform's service holds.
 //! - [`process`]: a process from start to stop.
 
 pub mod account;
@@ -40,7 +41,7 @@
 pub mod link;
 pub mod mechanism;
 pub mod meter;
-mod news;
+pub mod news;
 pub mod placement;
 pub mod prefix;
 pub mod process;
--- a/crates/gradedyke-gateway/src/news.rs
+++ b/crates/gradedyke-gateway/src/news.rs
@@ -22,13 +22,13 @@
 
 /// The same of an entry, which asks only where no keeper has news: there are
 /// many of them, each call costs, and keepers are back before it matters.
-pub(crate) const ENTRY_PACE: mirror::Pace = mirror::Pace {
+const ENTRY_PACE: mirror::Pace = mirror::Pace {
     look: Duration::from_millis(1_000),
     patience: Duration::from_millis(2_500),
 };
 
 /// Follows all prefixes of the platform's service while `wanted`.
-pub(crate) fn follow(
+fn follow(
     tasks: &mut JoinSet<()>,
     mirror: &Arc<Mirror>,
     kv: &Arc<dyn KeyValue>,
@@ -48,6 +48,39 @@
     }
 }
 
+/// How an entry comes by what the platform holds: from keepers, and from the platform's
+/// service where no keeper has news.
+pub struct Entry {
+    /// What it knows.
+    pub mirror: Arc<Mirror>,
+    /// The other processes.
+    pub peers: Arc<dyn feed::Peers>,
+}
+
+impl Entry {
+    /// Follows keepers, the preferred one of `sources` first, and the platform's service
+    /// while it has to, until `stop`. The process starts at `now`.
+    pub fn start(
+        self,
+        tasks: &mut JoinSet<()>,
+        kv: &Arc<dyn KeyValue>,
+        sources: impl Fn() -> Vec<SocketAddr> + Send + 'static,
+        now: Instant,
+        stop: &CancellationToken,
+    ) {
+        let health = Arc::new(feed::Health::new(now, feed::ENTRY_START));
+        tasks.spawn(feed::run(
+            self.mirror.clone(),
+            self.peers,
+            health.clone(),
+            sources,
+            stop.clone(),
+        ));
+        let alone = move || health.alone(Instant::now());
+        follow(tasks, &self.mirror, kv, alone, ENTRY_PACE, stop);
+    }
+}
+
 /// How a keeper comes by what the platform holds.
 pub(crate) struct Keeper {
     /// Where it answers.
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -155,14 +155,13 @@
         });
         let stop = CancellationToken::new();
         let mut process = Self::new(settings, Some(entry.clone()), stop.clone());
-        let health = Arc::new(feed::Health::new(Instant::now(), feed::ENTRY_START));
         let sources = sources(process.settings.clone(), quorum.clone());
-        let (feed_health, feed_stop) = (health.clone(), stop.clone());
-        let fed = mirror.clone();
         let tasks = &mut process.tasks;
-        tasks.spawn(feed::run(fed, quorum, feed_health, sources, feed_stop));
-        let alone = move || health.alone(Instant::now());
-        news::follow(tasks, &mirror, &world.kv, alone, news::ENTRY_PACE, &stop);
+        let news = news::Entry {
+            mirror,
+            peers: quorum,
+        };
+        news.start(tasks, &world.kv, sources, Instant::now(), &stop);
         tasks.spawn(refresh(entry.clone(), stop.clone()));
         if let Some(listener) = forwards {
             let forwarder = Arc::new(Forwarder::new(entry.quorum.clone()));
@@ -346,6 +345,8 @@
             () = tokio::time::sleep(LOOK) => entry.quorum.mend(),
             () = stop.cancelled() => return,
         }
-        entry.fleet.expire(entry.mirror.steady(), Instant::now());
+        let now = Instant::now();
+        entry.gauge(now);
+        entry.fleet.expire(entry.mirror.steady(), now);
     }
 }
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -6,9 +6,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use async_trait::async_trait;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use gradedyke_peer::Client;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -146,11 +146,66 @@
     }
 }
 
+/// The other processes, as a feed asks them.
+#[async_trait]
+pub trait Peers: Send + Sync {
+    /// Where this process passes requests of others on, if it does.
+    fn own(&self) -> Option<SocketAddr>;
+
+    /// Whether no keeper could be reached when that was last tried.
+    fn cut_off(&self) -> bool;
+
+    /// Asks the process at `peer`, and waits for its reply for at most `time`.
+    ///
+    /// # Errors
+    ///
+    /// What the connection failed with, or that the reply is not understood.
+    async fn ask(
+        &self,
+        peer: SocketAddr,
+        request: &Request,
+        time: Duration,
+    ) -> Result<Reply, Unanswered>;
+}
+
+/// Why a question to another process got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Unanswered {
+    /// The call failed.
+    #[error(transparent)]
+    Failed(#[from] gradedyke_peer::Error),
+    /// The reply is not understood.
+    #[error("the reply is not understood; run the same version everywhere")]
+    NotUnderstood,
+}
+
+#[async_trait]
+impl Peers for Quorum {
+    fn own(&self) -> Option<SocketAddr> {
+        Quorum::own(self)
+    }
+
+    fn cut_off(&self) -> bool {
+        Quorum::cut_off(self)
+    }
+
+    async fn ask(
+        &self,
+        peer: SocketAddr,
+        request: &Request,
+        time: Duration,
+    ) -> Result<Reply, Unanswered> {
+        let client = self.client(peer);
+        let reply = client.call(message::encode(request), time).await?;
+        message::decode(&reply).ok_or(Unanswered::NotUnderstood)
+    }
+}
+
 /// Follows one source after the other until `stop`. `sources` lists them, the
 /// preferred one first.
 pub async fn run(
     mirror: Arc<Mirror>,
-    quorum: Arc<Quorum>,
+    peers: Arc<dyn Peers>,
     health: Arc<Health>,
     sources: impl Fn() -> Vec<SocketAddr>,
     stop: CancellationToken,
@@ -159,18 +214,19 @@
     let mut before = None;
     loop {
         let known = sources();
-        let neighbours = neighbours(&mirror, &quorum);
-        if let Some(source) = first(&quorum, &known, &neighbours).await {
+        let neighbours = neighbours(&mirror, &*peers);
+        if let Some(source) = first(&*peers, &known, &neighbours).await {
             let position = positions.entry(source).or_default();
             let mut joined = Joined {
                 source,
                 position,
                 told: before == Some(source),
+                neighbour: neighbours.contains(&source),
                 review: review(&known, source, Instant::now()),
             };
             before = Some(source);
             tokio::select! {
-                why = follow(&mirror, &quorum, &health, &mut joined) => match why {
+                why = follow(&mirror, &*peers, &health, &mut joined) => match why {
                     Left::Review => {}
                     why => tracing::info!(event = "feed_left", %source, why = why.name()),
                 },
@@ -189,8 +245,8 @@
 /// going: without news by way of neighbours, 20 of 58 entries that were cut off from all
 /// keepers for 12 s refused 480 requests from 1.7 s on, and 32 programs were lost by it;
 /// with them none (one run of the same day each).
-fn neighbours(mirror: &Mirror, quorum: &Quorum) -> Vec<SocketAddr> {
-    let Some(own) = quorum.own().filter(|_| quorum.cut_off()) else {
+fn neighbours(mirror: &Mirror, peers: &dyn Peers) -> Vec<SocketAddr> {
+    let Some(own) = peers.own().filter(|_| peers.cut_off()) else {
         return Vec::new();
     };
     let mut neighbours = mirror.neighbours();
@@ -205,6 +261,8 @@
 struct Joined<'a> {
     source: SocketAddr,
     position: &'a mut (u64, u64),
+    /// Whether it is another entry, which has its news from elsewhere.
+    neighbour: bool,
     /// Whether the log says so already.
     told: bool,
     /// When to look whether a preferred one is fresh by now.
@@ -247,17 +305,16 @@
 /// One of `neighbours` is as good as a source while its copy is fresh; an old one comes
 /// from the same keepers.
 async fn first(
-    quorum: &Quorum,
+    peers: &dyn Peers,
     sources: &[SocketAddr],
     neighbours: &[SocketAddr],
 ) -> Option<SocketAddr> {
     let mut asked = FuturesUnordered::new();
     for (place, source) in sources.iter().chain(neighbours).enumerate() {
-        let client = quorum.client(*source);
         let start = AHEAD * u32::try_from(place).unwrap_or(u32::MAX);
         asked.push(async move {
             tokio::time::sleep(start).await;
-            (*source, age(&client).await)
+            (*source, age(peers, *source).await)
         });
     }
     let mut until = Instant::now() + CALL;
@@ -280,12 +337,11 @@
 /// The age of a source's copy, asked until it answers; `None` for a copy that the
 /// service never confirmed. Waits grow: one that resets each connection is not to
 /// be met hundreds of times a second by all others together.
-async fn age(client: &Client) -> Option<Duration> {
+async fn age(peers: &dyn Peers, source: SocketAddr) -> Option<Duration> {
     let mut wait = RETRY;
     loop {
-        let reply = client.call(message::encode(&Request::Age), CALL).await;
-        let reply = reply.ok().and_then(|r| message::decode(&r));
-        if let Some(Reply::Age(age)) = reply {
+        let reply = peers.ask(source, &Request::Age, CALL).await;
+        if let Ok(Reply::Age(age)) = reply {
             return age.map(Duration::from_millis);
         }
         tokio::time::sleep(wait).await;
@@ -297,12 +353,11 @@
 /// time to look for a preferred one.
 async fn follow(
     mirror: &Mirror,
-    quorum: &Quorum,
+    peers: &dyn Peers,
     health: &Health,
     joined: &mut Joined<'_>,
 ) -> Left {
     let source = joined.source;
-    let client = quorum.client(source);
     let wait_ms = u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX);
     let since = Instant::now();
     loop {
@@ -311,22 +366,20 @@
             boot,
             since: after,
             wait_ms,
-            address: quorum.own(),
+            address: peers.own(),
         };
         let asked = Instant::now();
-        let reply = client.call(message::encode(&request), CALL).await;
-        let Ok(reply) = reply else {
-            return Left::Silent;
-        };
-        let Some(Reply::News(news)) = message::decode(&reply) else {
-            return Left::NotUnderstood;
+        let news = match peers.ask(source, &request, CALL).await {
+            Ok(Reply::News(news)) => news,
+            Ok(_) | Err(Unanswered::NotUnderstood) => return Left::NotUnderstood,
+            Err(Unanswered::Failed(_)) => return Left::Silent,
         };
         let age = news.age_ms.map(Duration::from_millis);
         *joined.position = (news.boot, news.next);
         let now = Instant::now();
         mirror.learn(news, asked, now);
         if !std::mem::replace(&mut joined.told, true) {
-            tracing::info!(event = "feed_joined", %source, age = ?age);
+            tracing::info!(event = "feed_joined", %source, neighbour = joined.neighbour, age = ?age);
         }
         if age.is_some_and(|a| a <= STALE) {
             health.fresh(now);
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -452,12 +452,14 @@
     let listing = kv.list(prefix).await?;
     let items = listing.entries.into_iter().map(Item::from);
     let now = Instant::now();
+    let before = mirror.age(now);
     mirror.replace(prefix, items.collect(), listing.revision, now);
     mirror.confirm(prefix, asked, now);
     tracing::info!(
         event = "platform_regained",
         prefix,
-        revision = listing.revision
+        revision = listing.revision,
+        before_ms = before.map(|age| age.as_millis())
     );
     let mut watch = kv.watch(prefix, listing.revision + 1).await?;
     while wanted() {
@@ -472,6 +474,7 @@
             tokio::time::sleep(GATHER).await;
         }
     }
+    tracing::info!(event = "platform_left", prefix);
     Ok(())
 }
 
