--- a/crates/gradedyke-gateway/tests/news/main.rs
+++ b/crates/gradedyke-gateway/tests/news/main.rs
@@ -20,7 +20,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use gradedyke_gateway::news;
@@ -58,6 +58,8 @@
 /// A keeper that watches the service, and entries.
 struct World {
     service: Arc<Service>,
+    /// Whether the keeper cannot reach it.
+    keeper_cut: Arc<AtomicBool>,
     network: Arc<Network>,
     entries: Vec<Arc<Mirror>>,
     tasks: JoinSet<()>,
@@ -68,6 +70,7 @@
     fn start(entries: u16) -> Self {
         let mut world = Self {
             service: Service::new(Instant::now()),
+            keeper_cut: Arc::default(),
             network: Arc::new(Network::default()),
             entries: Vec::new(),
             tasks: JoinSet::new(),
@@ -80,14 +83,12 @@
         world
     }
 
-    fn kv(&self) -> Arc<dyn KeyValue> {
-        Arc::new(Client(self.service.clone()))
-    }
-
     fn add_keeper(&mut self) {
         let mirror = Mirror::new(&[""]);
         self.network.add(address(1), mirror.clone(), true);
-        let (kv, stop) = (self.kv(), self.stop.clone());
+        let client = Client::new(self.service.clone());
+        self.keeper_cut = client.cut.clone();
+        let (kv, stop) = (Arc::new(client), self.stop.clone());
         let always = || true;
         let following = mirror::follow(mirror, kv, String::new(), always, WATCHER, stop);
         self.tasks.spawn(following);
@@ -102,7 +103,8 @@
             own,
             cut_off: AtomicBool::new(false),
         };
-        let (kv, network, stop) = (self.kv(), self.network.clone(), self.stop.clone());
+        let kv: Arc<dyn KeyValue> = Arc::new(Client::new(self.service.clone()));
+        let (network, stop) = (self.network.clone(), self.stop.clone());
         let news = news::Entry {
             mirror,
             peers: Arc::new(seat),
@@ -168,6 +170,22 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_change_is_known_in_time_while_keepers_have_nothing_new() {
+    for entries in ENTRIES {
+        let world = World::start(entries);
+        let gap = ms(230);
+        let mut worst = world.pass(ms(5_000), gap).await;
+        for _ in 0..5 {
+            world.keeper_cut.store(true, Ordering::Relaxed);
+            worst = worst.max(world.pass(ms(7_000), gap).await);
+            world.keeper_cut.store(false, Ordering::Relaxed);
+            worst = worst.max(world.pass(ms(4_000), gap).await);
+        }
+        assert!(worst <= IN_FORCE, "{entries} entries: {worst:?} late");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_entry_reads_the_service_again_in_time_however_long_it_was_away() {
     // One entry alone, whom no neighbour helps, and several.
--- a/crates/gradedyke-gateway/tests/news/service.rs
+++ b/crates/gradedyke-gateway/tests/news/service.rs
@@ -69,11 +69,28 @@
     fn revision(&self) -> usize {
         self.changes.borrow().len()
     }
+}
+
+/// The service as one process calls it.
+#[derive(Clone)]
+pub struct Client {
+    service: Arc<Service>,
+    /// Whether this process cannot reach it.
+    pub cut: Arc<AtomicBool>,
+}
+
+impl Client {
+    /// A client that reaches `service`.
+    pub fn new(service: Arc<Service>) -> Self {
+        let cut = Arc::default();
+        Self { service, cut }
+    }
 
-    /// Takes a call, which is not answered while the service is away.
+    /// Makes a call, which is not answered while the service is away or cut off.
     async fn call(&self) -> Result<(), Error> {
-        self.calls.fetch_add(1, Ordering::Relaxed);
-        if self.away.load(Ordering::Relaxed) {
+        self.service.calls.fetch_add(1, Ordering::Relaxed);
+        let away = self.service.away.load(Ordering::Relaxed);
+        if away || self.cut.load(Ordering::Relaxed) {
             tokio::time::sleep(GIVEN_UP).await;
             return Err(Error::Unknown("away".to_owned()));
         }
@@ -82,9 +99,6 @@
     }
 }
 
-/// The service as one process calls it.
-pub struct Client(pub Arc<Service>);
-
 fn unused<T>() -> Result<T, Error> {
     Err(Error::Refused("nobody writes here".to_owned()))
 }
@@ -96,8 +110,8 @@
     }
 
     async fn list(&self, _prefix: &str) -> Result<Listing, Error> {
-        self.0.call().await?;
-        let revision = self.0.revision();
+        self.call().await?;
+        let revision = self.service.revision();
         Ok(Listing {
             entries: vec![Service::entry(revision)],
             revision: Revision::try_from(revision).unwrap(),
@@ -122,27 +136,28 @@
 
     async fn watch(&self, _prefix: &str, from: Revision) -> Result<Box<dyn Watch>, Error> {
         Ok(Box::new(Waiting {
-            service: self.0.clone(),
+            client: self.clone(),
             known: usize::try_from(from).unwrap() - 1,
         }))
     }
 }
 
 struct Waiting {
-    service: Arc<Service>,
+    client: Client,
     known: usize,
 }
 
 #[async_trait]
 impl Watch for Waiting {
     async fn next(&mut self) -> Result<Vec<Event>, Error> {
-        let mut changes = self.service.changes.subscribe();
+        let service = self.client.service.clone();
+        let mut changes = service.changes.subscribe();
         let known = self.known;
         let more = changes.wait_for(|changes| changes.len() > known);
         // Without a change it says so at the end of that time.
         let _ = tokio::time::timeout(HELD, more).await;
-        self.service.call().await?;
-        let revision = self.service.revision();
+        self.client.call().await?;
+        let revision = service.revision();
         if revision == self.known {
             return Ok(Vec::new());
         }
