--- a/crates/gradedyke-gateway/tests/news/main.rs
+++ b/crates/gradedyke-gateway/tests/news/main.rs
@@ -153,7 +153,7 @@
         (ENTRIES[1], Loss::Refused),
     ] {
         // Changes one upon the other, and changes that meet a loss at any moment.
-        for gap in [ms(250), ms(930)] {
+        for gap in [ms(50), ms(250), ms(930)] {
             let world = World::start(entries);
             let mut worst = world.pass(ms(5_000), gap).await;
             for _ in 0..5 {
@@ -174,7 +174,7 @@
 async fn a_change_is_known_in_time_while_keepers_have_nothing_new() {
     for entries in ENTRIES {
         let world = World::start(entries);
-        let gap = ms(230);
+        let gap = ms(50);
         let mut worst = world.pass(ms(5_000), gap).await;
         for _ in 0..5 {
             world.keeper_cut.store(true, Ordering::Relaxed);
