--- a/crates/gradedyke-gateway/src/link.rs
+++ b/crates/gradedyke-gateway/src/link.rs
@@ -25,8 +25,10 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Longest time for which sent bytes may stay unacknowledged. A server that was
 /// cut off or lost power says nothing, and requests to it would wait for their
-/// whole time. Three tries of the system to send a packet again fit in, and the
-/// acknowledgement comes from the server's system, however slow the server is.
+/// whole time. Three tries of the system to send a packet again fit in. Acknowledgements
+/// come from the server's system, so a slow server keeps its connection while that has
+/// room for the bytes; one that takes in nothing for so long with its buffer full is given
+/// up like one that is gone.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
 /// Silence after which the server's system is asked whether it is still there, and
 /// the wait before it is asked again: the shortest that sockets allow.
