Entries read the platform's store no more than they need to: low and high need, no hold

By the logs entries tried in vain: through an outage of the store, and cut off from it while others kept their copy young, and then read on for 3 s.

Change: a process whose copy is young, or whose keepers answer with old news (and are trying themselves), repeats a failed call within 2.5 s; one that hears from nobody and has an old copy within 0.8 s. Reading ends with a keeper's fresh news. The first wait of an entry is 0.4 s. Waits of a follower are the base crate's Backoff in place of its own doubling.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -56,8 +56,8 @@
 
 /// Age of what an entry knows above which it gives no final answer by it: that a key, a
 /// route or so large a body is not allowed. News are up to 2.0 s old by the way they take (two
-/// waits of 0.7 s at the platform's service, two of 0.3 s at keepers), and a change is to be
-/// in force 2 s or more after it was confirmed. It guards against "no such route" for one that
+/// waits of 0.7 s at the platform's service, two of 0.3 s at keepers, seldom three), and a
+/// change is to be in force 2 s or more after it was confirmed. It guards against "no such route" for one that
 /// exists, which ends a program: seen once, 2.07 s after the route was added, at an entry
 /// without news.
 const RECENT: Duration = Duration::from_secs(2);
--- a/crates/gradedyke-gateway/src/news.rs
+++ b/crates/gradedyke-gateway/src/news.rs
@@ -6,28 +6,40 @@
 
 use gradedyke_platform::kv::KeyValue;
 use gradedyke_turns::feed;
-use gradedyke_turns::mirror::{self, Mirror};
+use gradedyke_turns::mirror::{self, Mirror, Need};
 use gradedyke_turns::quorum::Quorum;
 use gradedyke_turns::view::Disk;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// How a process follows the platform: one that has to read it begins within 0.15 s, so
+/// How a keeper follows the platform. A process that has to read it begins within 0.15 s, so
 /// that a change is in force in 2 s, and one whose call failed (after 1.5 s) tries again
-/// within 1.2 s, so that it is there 3 s after the end of an outage. With looks of 1 s and
+/// within 1 s, so that it is there 3 s after the end of an outage. With looks of 1 s and
 /// waits of 2.5 s, half more or less, lone entries were there after 4 s (in virtual time).
-const PACE: mirror::Pace = mirror::Pace {
+const KEEPER_PACE: mirror::Pace = mirror::Pace {
     look: Duration::from_millis(100),
+    first: Duration::from_millis(50),
     patience: Duration::from_millis(800),
+    unhurried: Duration::from_millis(800),
 };
 
-/// Follows all prefixes of the platform's service while `wanted`.
+/// The same of an entry. There are many of them, and in an outage of the service, or cut off
+/// from it, their calls are in vain: 57 entries made 700 in an outage of 6 s with the waits of
+/// keepers.
+const ENTRY_PACE: mirror::Pace = mirror::Pace {
+    first: Duration::from_millis(400),
+    unhurried: Duration::from_millis(2_500),
+    ..KEEPER_PACE
+};
+
+/// Follows all prefixes of the platform's service while there is a `need`.
 fn follow(
     tasks: &mut JoinSet<()>,
     mirror: &Arc<Mirror>,
     kv: &Arc<dyn KeyValue>,
-    wanted: impl Fn() -> bool + Clone + Send + Sync + 'static,
+    need: impl Fn() -> Need + Clone + Send + Sync + 'static,
+    pace: mirror::Pace,
     stop: &CancellationToken,
 ) {
     for prefix in mirror.prefixes().to_vec() {
@@ -35,8 +47,8 @@
             mirror.clone(),
             kv.clone(),
             prefix,
-            wanted.clone(),
-            PACE,
+            need.clone(),
+            pace,
             stop.clone(),
         ));
     }
@@ -71,11 +83,11 @@
             stop.clone(),
         ));
         let mirror = self.mirror.clone();
-        let wanted = move || {
+        let need = move || {
             let now = Instant::now();
-            reader.reads(mirror.age(now), now)
+            reader.need(mirror.age(now), now)
         };
-        follow(tasks, &self.mirror, kv, wanted, stop);
+        follow(tasks, &self.mirror, kv, need, ENTRY_PACE, stop);
     }
 }
 
@@ -98,20 +110,21 @@
 }
 
 impl Keeper {
-    /// Whether this keeper reads the platform's service itself: as the first of the
+    /// How much this keeper needs to read the platform's service itself: as the first of the
     /// watchers, in place of that one, or because nobody brings it news.
-    fn wanted(&self, now: Instant) -> bool {
+    fn need(&self, now: Instant) -> Need {
         let view = self.quorum.view();
         let mut watchers = view.watchers();
         let first = watchers.next();
+        let age = self.mirror.age(now);
         match first {
-            None if self.seeds.is_empty() || self.seeds.contains(&self.own) => true,
-            Some(first) if first.disk == self.disk => true,
+            None if self.seeds.is_empty() || self.seeds.contains(&self.own) => Need::High,
+            Some(first) if first.disk == self.disk => Need::High,
             Some(first) if watchers.any(|w| w.disk == self.disk) => {
                 let down = self.quorum.client(first.address).is_down();
-                self.standby.reads(self.mirror.age(now), down, now)
+                self.standby.need(age, down, now)
             }
-            _ => self.reader.reads(self.mirror.age(now), now),
+            _ => self.reader.need(age, now),
         }
     }
 
@@ -147,7 +160,7 @@
             stop.clone(),
         ));
         let mirror = keeper.mirror.clone();
-        let wanted = move || keeper.wanted(Instant::now());
-        follow(tasks, &mirror, kv, wanted, stop);
+        let need = move || keeper.need(Instant::now());
+        follow(tasks, &mirror, kv, need, KEEPER_PACE, stop);
     }
 }
--- a/crates/gradedyke-gateway/tests/news/main.rs
+++ b/crates/gradedyke-gateway/tests/news/main.rs
@@ -25,7 +25,7 @@
 
 use gradedyke_gateway::news;
 use gradedyke_platform::kv::KeyValue;
-use gradedyke_turns::mirror::{self, Mirror, Pace};
+use gradedyke_turns::mirror::{self, Mirror, Need, Pace};
 use network::{Loss, Network, Seat};
 use service::{Client, Service};
 use tokio::task::JoinSet;
@@ -44,7 +44,9 @@
 /// How a keeper that watches the service waits.
 const WATCHER: Pace = Pace {
     look: Duration::from_millis(100),
+    first: Duration::from_millis(50),
     patience: Duration::from_millis(800),
+    unhurried: Duration::from_millis(800),
 };
 
 fn address(number: u16) -> SocketAddr {
@@ -89,7 +91,7 @@
         let client = Client::new(self.service.clone());
         self.keeper_cut = client.cut.clone();
         let (kv, stop) = (Arc::new(client), self.stop.clone());
-        let always = || true;
+        let always = || Need::High;
         let following = mirror::follow(mirror, kv, String::new(), always, WATCHER, stop);
         self.tasks.spawn(following);
     }
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -305,13 +305,13 @@
             tracing::info!(event = "feed_joined", %source, neighbour = joined.neighbour, age = ?age);
         }
         let fresh = age.is_some_and(|a| a <= STALE);
+        // Another entry may have its news from here.
+        if !joined.neighbour {
+            reader.heard(fresh, now);
+        }
         if !fresh && now - since > OLD {
             return Left::Old;
         }
-        // Another entry may have its news from here.
-        if fresh && !joined.neighbour {
-            reader.supplied(now);
-        }
         if joined.review.is_some_and(|at| now >= at) {
             return Left::Review;
         }
--- a/crates/gradedyke-turns/src/feed/reader.rs
+++ b/crates/gradedyke-turns/src/feed/reader.rs
@@ -14,13 +14,16 @@
 
 use tokio::time::Instant;
 
+use crate::mirror::Need;
+
 /// Time without fresh news from a keeper after which the service itself is read: a wait
 /// for news, and a change of the source.
 const ALONE: Duration = Duration::from_millis(700);
-/// Age of a copy above which the service itself is read, whoever brings news. It is 1.3 s
-/// at most on the usual way: watches of the service answer every 0.7 s, and news come
-/// two hops of 0.3 s.
-const TOO_OLD: Duration = Duration::from_millis(1_600);
+/// Age of a copy above which the service itself is read, whoever brings news. On the usual
+/// way it is 1.6 s at most: watches of the service answer every 0.7 s, and news come three
+/// hops of 0.3 s where a keeper hears from the watcher that stands by. With 1.6 s in place
+/// of 1.8 s a quarter of 57 entries read the service every few seconds on a calm day.
+const TOO_OLD: Duration = Duration::from_millis(1_800);
 
 /// Time that the feed of an entry has at the start of its process, when all others
 /// may be starting too: what a keeper takes to start and to read the service.
@@ -33,15 +36,15 @@
 /// first hears from it every 0.72 s, and is heard itself every 0.3 s; entries look for
 /// another source at 1.3 s.
 const LATE: Duration = Duration::from_millis(1_100);
-/// How long a process goes on reading, so that a source that comes and goes does not have
+/// How long it goes on then, so that a first watcher that comes and goes does not have
 /// it begin again and again.
 const HOLD: Duration = Duration::from_secs(3);
 
 /// The decision of a process that hears from keepers. Where entries that heard from each
 /// other did not read, all of them were up to 2.8 s behind when no keeper was there, and are
 /// 0.5 s behind with this (eight and 58 entries in virtual time, a change every 0.25 s). It
-/// costs each entry 4 calls a second under such changes and 1.4 otherwise, while keepers are
-/// gone and for 3 s after.
+/// costs each entry 4 calls a second under such changes and 1.6 otherwise, while keepers are
+/// gone.
 #[derive(Debug)]
 pub struct Reader(Mutex<State>);
 
@@ -49,7 +52,8 @@
 struct State {
     /// When a keeper last brought fresh news, or may be expected to have done so.
     supplied: Instant,
-    hold: Hold,
+    /// When a keeper last told anything, the same.
+    heard: Instant,
 }
 
 impl Reader {
@@ -58,46 +62,52 @@
     pub fn new(now: Instant, start: Duration) -> Self {
         Self(Mutex::new(State {
             supplied: now + start,
-            hold: Hold::default(),
+            heard: now + start,
         }))
     }
 
-    /// Notes that a keeper brought fresh news.
-    pub fn supplied(&self, now: Instant) {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .supplied = now;
+    /// Notes that a keeper told what it knows, and whether that was fresh.
+    pub fn heard(&self, fresh: bool, now: Instant) {
+        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.heard = now;
+        if fresh {
+            state.supplied = now;
+        }
     }
 
-    /// Whether the service is read at `now`, when the copy has this `age`; none before it
-    /// was ever confirmed.
+    /// How much the service has to be read at `now`, when the copy has this `age`; none
+    /// before it was ever confirmed. Keepers that have old news are trying to read the
+    /// service themselves, so the need is low while they are there.
     ///
     /// ```
     /// use std::time::Duration;
     /// use gradedyke_turns::feed::{ENTRY_START, Reader};
+    /// use gradedyke_turns::mirror::Need;
     /// use tokio::time::Instant;
     ///
     /// let now = Instant::now();
     /// let after = |ms| now + Duration::from_millis(ms);
-    /// let young = Some(Duration::from_millis(100));
+    /// let (young, old) = (Some(Duration::from_millis(100)), Some(Duration::from_secs(2)));
     /// let reader = Reader::new(now, ENTRY_START);
-    /// assert!(!reader.reads(None, now));
+    /// assert_eq!(reader.need(None, now), Need::None);
     /// // No keeper brings news, whoever else does.
-    /// assert!(reader.reads(young, after(2_800)));
-    /// // It goes on for a while when one does.
-    /// reader.supplied(after(3_000));
-    /// assert!(reader.reads(young, after(3_100)));
-    /// reader.supplied(after(6_000));
-    /// assert!(!reader.reads(young, after(6_100)));
-    /// // What keepers bring is too old.
-    /// assert!(reader.reads(Some(Duration::from_secs(2)), after(6_200)));
+    /// assert_eq!(reader.need(young, after(2_800)), Need::Low);
+    /// assert_eq!(reader.need(old, after(2_800)), Need::High);
+    /// // What they bring is old.
+    /// reader.heard(false, after(3_000));
+    /// assert_eq!(reader.need(old, after(3_100)), Need::Low);
+    /// reader.heard(true, after(3_200));
+    /// assert_eq!(reader.need(young, after(3_300)), Need::None);
     /// ```
-    pub fn reads(&self, age: Option<Duration>, now: Instant) -> bool {
-        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let alone = now.saturating_duration_since(state.supplied) > ALONE;
-        let old = age.is_some_and(|a| a > TOO_OLD);
-        state.hold.reads(alone || old, now)
+    pub fn need(&self, age: Option<Duration>, now: Instant) -> Need {
+        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let long = |since| now.saturating_duration_since(since) > ALONE;
+        let old = age.map_or(long(state.heard), |age| age > TOO_OLD);
+        match (old, long(state.supplied), long(state.heard)) {
+            (true, _, true) => Need::High,
+            (true, ..) | (_, true, _) => Need::Low,
+            _ => Need::None,
+        }
     }
 }
 
@@ -105,41 +115,32 @@
 /// always do, and a start at which all keepers do, a calm day of 48 s of a deployment with 26
 /// instances took 290 calls; with both changed 125 and 123 (two runs).
 #[derive(Debug, Default)]
-pub struct Standby(Mutex<Hold>);
+pub struct Standby(Mutex<Option<Instant>>);
 
 impl Standby {
-    /// Whether it does so at `now`, when its copy has this `age` and the first watcher
+    /// Whether it has to do so at `now`, when its copy has this `age` and the first watcher
     /// is `down` or not.
     ///
     /// ```
     /// use std::time::Duration;
+    /// use gradedyke_turns::mirror::Need;
     /// use tokio::time::Instant;
     ///
     /// let now = Instant::now();
     /// let standby = gradedyke_turns::feed::Standby::default();
     /// let fresh = Some(Duration::from_millis(500));
-    /// assert!(!standby.reads(fresh, false, now));
-    /// assert!(standby.reads(fresh, true, now));
-    /// assert!(standby.reads(fresh, false, now + Duration::from_secs(1)));
-    /// assert!(!standby.reads(fresh, false, now + Duration::from_secs(4)));
+    /// let after = |s| now + Duration::from_secs(s);
+    /// assert_eq!(standby.need(fresh, false, now), Need::None);
+    /// assert_eq!(standby.need(fresh, true, now), Need::High);
+    /// assert_eq!(standby.need(fresh, false, after(1)), Need::High);
+    /// assert_eq!(standby.need(fresh, false, after(4)), Need::None);
     /// ```
-    pub fn reads(&self, age: Option<Duration>, down: bool, now: Instant) -> bool {
-        let mut hold = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        hold.reads(down || age.is_none_or(|a| a > LATE), now)
-    }
-}
-
-/// Goes on reading for a while.
-#[derive(Debug, Default)]
-struct Hold(Option<Instant>);
-
-impl Hold {
-    /// Whether the service is read at `now`, when it `must` be or need not.
-    fn reads(&mut self, must: bool, now: Instant) -> bool {
-        if must {
-            self.0 = Some(now);
+    pub fn need(&self, age: Option<Duration>, down: bool, now: Instant) -> Need {
+        let mut since = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if down || age.is_none_or(|a| a > LATE) {
+            *since = Some(now);
         }
-        self.0
-            .is_some_and(|s| now.saturating_duration_since(s) < HOLD)
+        let holds = since.is_some_and(|s| now.saturating_duration_since(s) < HOLD);
+        if holds { Need::High } else { Need::None }
     }
 }
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -21,7 +21,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-pub use follow::{Pace, follow};
+pub use follow::{Need, Pace, follow};
 
 /// A key with its value; no value when it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -3,57 +3,109 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gradedyke_base::retry::Backoff;
 use gradedyke_platform::kv::{Error, Event, KeyValue};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::{Item, Mirror};
 
-/// First wait after a failed call to the service.
-const RETRY_FIRST: Duration = Duration::from_millis(50);
-
 /// Wait after changes before the next are asked for. Servers register one by one
 /// and each answer costs a call; a tenth of a second is a twentieth of what a
 /// change may take.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// How much a process needs to read the service itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// Others bring it news.
+    None,
+    /// Those that should bring news bring none that are fresh, but its copy is young or they
+    /// read the service too.
+    Low,
+    /// It reads for others, or its copy is old and nobody there brings news.
+    High,
+}
+
 /// How a process that follows the service waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
-    /// How often it looks whether it is wanted.
+    /// How often it looks whether it needs to read, half more or less.
     pub look: Duration,
-    /// Longest wait between failed calls.
+    /// Longest wait after the first failed call.
+    pub first: Duration,
+    /// Longest wait between failed calls where the need is high.
     pub patience: Duration,
+    /// The same where it is low.
+    pub unhurried: Duration,
+}
+
+/// When to call again after calls that failed.
+struct Retry {
+    pace: Pace,
+    backoff: Backoff,
+    next: Option<Instant>,
+    unhurried: Option<Instant>,
 }
 
-/// Lists and watches one prefix until `stop`, while `wanted` tells it to. Waits
-/// between failed calls grow up to the patience of `pace`.
+impl Retry {
+    fn new(pace: Pace) -> Self {
+        Self {
+            pace,
+            backoff: Backoff::endless(pace.first, pace.patience),
+            next: None,
+            unhurried: None,
+        }
+    }
+
+    fn reset(&mut self) {
+        *self = Self::new(self.pace);
+    }
+
+    fn failed(&mut self, now: Instant) {
+        let wait = self.backoff.step(rand::random());
+        let unhurried = self.pace.unhurried.mul_f64(rand::random_range(0.5..1.0));
+        self.next = Some(now + wait);
+        self.unhurried = Some(now + wait.max(unhurried));
+    }
+
+    fn due(&self, need: Need, now: Instant) -> bool {
+        let next = match need {
+            Need::None => return false,
+            Need::Low => self.unhurried,
+            Need::High => self.next,
+        };
+        next.is_none_or(|next| now >= next)
+    }
+}
+
+/// Lists and watches one prefix until `stop`, while `need` says so.
 pub async fn follow(
     mirror: Arc<Mirror>,
     kv: Arc<dyn KeyValue>,
     prefix: String,
-    wanted: impl Fn() -> bool,
+    need: impl Fn() -> Need,
     pace: Pace,
     stop: CancellationToken,
 ) {
-    let mut wait = RETRY_FIRST;
+    let mut retry = Retry::new(pace);
     loop {
-        let mut rest = pace.look;
-        if wanted() {
-            let read = read(&mirror, &*kv, &prefix, &wanted, &mut wait).await;
+        let needed = need();
+        if needed == Need::None {
+            // An outage that others sat out says nothing of the next one.
+            retry.reset();
+        }
+        if retry.due(needed, Instant::now()) {
+            let read = read(&mirror, &*kv, &prefix, &need, &mut retry).await;
             if let Err(error) = read {
                 mirror.broken();
                 tracing::warn!(event = "platform_lost", prefix, %error);
-                rest = wait;
-                wait = (wait * 2).min(pace.patience);
+                retry.failed(Instant::now());
             }
-        } else {
-            // An outage that others sat out says nothing of the next one.
-            wait = RETRY_FIRST;
         }
-        let jitter = rest.mul_f64(0.5 + rand::random::<f64>());
+        let look = pace.look.mul_f64(rand::random_range(0.5..1.5));
         tokio::select! {
-            () = tokio::time::sleep(jitter) => {}
+            () = tokio::time::sleep(look) => {}
             () = stop.cancelled() => return,
         }
     }
@@ -63,8 +115,8 @@
     mirror: &Mirror,
     kv: &dyn KeyValue,
     prefix: &str,
-    wanted: &impl Fn() -> bool,
-    wait: &mut Duration,
+    need: &impl Fn() -> Need,
+    retry: &mut Retry,
 ) -> Result<(), Error> {
     let asked = Instant::now();
     let listing = kv.list(prefix).await?;
@@ -80,10 +132,10 @@
         before_ms = before.map(|age| age.as_millis())
     );
     let mut watch = kv.watch(prefix, listing.revision + 1).await?;
-    while wanted() {
+    while need() != Need::None {
         let asked = Instant::now();
         let events = watch.next().await?;
-        *wait = RETRY_FIRST;
+        retry.reset();
         let now = Instant::now();
         let changed = !events.is_empty();
         mirror.put(events.into_iter().map(item).collect(), now);
