Test that an outage of the platform's store is met with few calls

58 entries and a keeper make 609 calls in an outage of 6 s that turns calls away, with a keeper's waits at entries; at most 310 are allowed.

--- a/crates/gradedyke-gateway/tests/news/main.rs
+++ b/crates/gradedyke-gateway/tests/news/main.rs
@@ -27,7 +27,7 @@
 use gradedyke_platform::kv::KeyValue;
 use gradedyke_turns::mirror::{self, Mirror, Need, Pace};
 use network::{Loss, Network, Seat};
-use service::{Client, Service};
+use service::{Client, Outage, Service};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -197,9 +197,9 @@
         world.network.lose_keepers(Some(Loss::Silent));
         for away in [1_000, 3_000, 6_000, 12_000, 20_000].repeat(5) {
             world.pass(ms(2_000), ms(500)).await;
-            world.service.set_away(true);
+            world.service.set_outage(Some(Outage::Silent));
             world.pass(ms(away), ms(500)).await;
-            world.service.set_away(false);
+            world.service.set_outage(None);
             world.pass(CALM, ms(500)).await;
             let lag = world.lag();
             assert!(
@@ -209,3 +209,23 @@
         }
     }
 }
+
+/// Each call to the service has its price, and in an outage all are in vain. With the waits
+/// of a keeper 58 entries and it made 609 calls in 6 s; keepers that are there try as well, and
+/// entries hear from them when it is over.
+#[tokio::test(start_paused = true)]
+async fn an_outage_is_met_with_few_calls_while_keepers_are_there() {
+    let entries = ENTRIES[1];
+    let world = World::start(entries);
+    world.pass(ms(5_000), ms(500)).await;
+    let calls = || world.service.calls.load(Ordering::Relaxed);
+    let before = calls();
+    world.service.set_outage(Some(Outage::Refusing));
+    world.pass(ms(6_000), ms(500)).await;
+    // Every 1.25 s at most once the copy is 1.8 s old, and the keeper every 0.4 s.
+    let most = usize::from(entries) * 5 + 20;
+    assert!(calls() - before <= most, "{} calls", calls() - before);
+    world.service.set_outage(None);
+    world.pass(CALM, ms(500)).await;
+    assert!(world.lag() <= IN_FORCE, "{:?} late", world.lag());
+}
--- a/crates/gradedyke-gateway/tests/news/service.rs
+++ b/crates/gradedyke-gateway/tests/news/service.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the platform's key-value service that holds one key, in virtual time.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -21,10 +21,19 @@
 /// Time after which a caller gives up a call that is not answered.
 const GIVEN_UP: Duration = Duration::from_millis(1_500);
 
+/// How the service fails calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// It takes them and says nothing.
+    Silent,
+    /// It turns them away at once.
+    Refusing,
+}
+
 /// The service. Its configuration is the number of the change that wrote it.
 pub struct Service {
     changes: watch::Sender<Vec<Instant>>,
-    away: AtomicBool,
+    outage: Mutex<Option<Outage>>,
     /// Calls to it so far.
     pub calls: AtomicUsize,
 }
@@ -34,7 +43,7 @@
     pub fn new(now: Instant) -> Arc<Self> {
         Arc::new(Self {
             changes: watch::Sender::new(vec![now]),
-            away: AtomicBool::new(false),
+            outage: Mutex::default(),
             calls: AtomicUsize::new(0),
         })
     }
@@ -44,9 +53,9 @@
         self.changes.send_modify(|changes| changes.push(now));
     }
 
-    /// Whether it answers nobody.
-    pub fn set_away(&self, away: bool) {
-        self.away.store(away, Ordering::Relaxed);
+    /// Has it fail all calls, or none.
+    pub fn set_outage(&self, outage: Option<Outage>) {
+        *self.outage.lock().unwrap() = outage;
     }
 
     /// For how long a change has been confirmed that `mirror` does not have; zero if it has
@@ -86,16 +95,22 @@
         Self { service, cut }
     }
 
-    /// Makes a call, which is not answered while the service is away or cut off.
+    /// Makes a call, which fails in an outage of the service or where it is cut off.
     async fn call(&self) -> Result<(), Error> {
         self.service.calls.fetch_add(1, Ordering::Relaxed);
-        let away = self.service.away.load(Ordering::Relaxed);
-        if away || self.cut.load(Ordering::Relaxed) {
-            tokio::time::sleep(GIVEN_UP).await;
-            return Err(Error::Unknown("away".to_owned()));
+        let cut = self.cut.load(Ordering::Relaxed);
+        let outage = *self.service.outage.lock().unwrap();
+        match outage.or(cut.then_some(Outage::Silent)) {
+            None => {
+                tokio::time::sleep(ANSWER).await;
+                Ok(())
+            }
+            Some(Outage::Silent) => {
+                tokio::time::sleep(GIVEN_UP).await;
+                Err(Error::Unknown("silent".to_owned()))
+            }
+            Some(Outage::Refusing) => Err(Error::Unavailable("turned away".to_owned())),
         }
-        tokio::time::sleep(ANSWER).await;
-        Ok(())
     }
 }
 
