--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -57,9 +57,9 @@
 /// Age of what an entry knows above which it gives no final answer by it: that a key, a
 /// route or so large a body is not allowed. News are up to 2.0 s old by the way they take (two
 /// waits of 0.7 s at the platform's service, two of 0.3 s at keepers, seldom three), and a
-/// change is to be in force 2 s or more after it was confirmed. It guards against "no such route" for one that
-/// exists, which ends a program: seen once, 2.07 s after the route was added, at an entry
-/// without news.
+/// change is to be in force 2 s or more after it was confirmed. It guards against "no such
+/// route" for one that exists, which ends a program: seen once, 2.07 s after the route was
+/// added, at an entry without news.
 const RECENT: Duration = Duration::from_secs(2);
 
 /// Share of the time in which a withdrawn key must be without effect for which it may be
@@ -342,7 +342,7 @@
 }
 
 /// The answer to what the configuration does not allow, when what is known here has this
-/// `age`: final if it is young, for it may have been allowed since.
+/// `age`. It is final only where that is young: it may have been allowed since.
 fn denial(refusal: Refusal, age: Option<Duration>) -> Refusal {
     if age.is_some_and(|age| age <= RECENT) {
         return refusal;
