Test of tables waits for the event that they are saved, not for a file to appear

The log tells how many tables it has saved since it was opened. The test is stricter by it: in each case the table must be made anew once, and at last be as it was.

--- a/crates/gradedyke-turns/src/log/mod.rs
+++ b/crates/gradedyke-turns/src/log/mod.rs
@@ -23,11 +23,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 pub use self::outline::Outline;
 pub use self::table::Table;
-use self::writer::{Wait, Writer};
+use self::writer::{Saver, Wait, Writer};
 use crate::record::Record;
 
 /// A segment's number; later ones are greater.
@@ -75,6 +75,7 @@
     queue: mpsc::Sender<Wait>,
     active: Arc<AtomicU32>,
     folder: Arc<Path>,
+    saved: watch::Receiver<usize>,
 }
 
 fn path(folder: &Path, segment: Segment) -> PathBuf {
@@ -164,15 +165,17 @@
         // A new segment is begun at each start, so a torn end is never appended
         // to and nothing has to be cut.
         let next = numbers.last().map_or(1, |n| n + 1);
+        let saver = Saver::new(folder);
         let mut tables = Vec::new();
         for number in numbers {
-            let table = table(folder, number).map_err(wrap)?;
+            let table = table(folder, number, &saver).map_err(wrap)?;
             tables.extend(table.map(|t| (number, t)));
         }
         let file = create(folder, next).map_err(wrap)?;
         let (queue, waiting) = mpsc::channel(QUEUE);
         let active = Arc::new(AtomicU32::new(next));
-        let writer = Writer::new(folder, file, active.clone());
+        let saved = saver.saved();
+        let writer = Writer::new(folder, file, active.clone(), saver);
         std::thread::Builder::new()
             .name("turn-log".to_owned())
             .spawn(move || writer.run(waiting))
@@ -181,6 +184,7 @@
             queue,
             active,
             folder: folder.into(),
+            saved,
         };
         Ok((log, tables))
     }
@@ -190,6 +194,12 @@
         self.active.load(Ordering::Acquire)
     }
 
+    /// How many tables were written beside segments since the log was opened. They are
+    /// written beside the records, some after the record that begins the next segment.
+    pub fn saved(&self) -> watch::Receiver<usize> {
+        self.saved.clone()
+    }
+
     /// Writes a record and returns where it is once it is synced.
     ///
     /// # Errors
@@ -283,7 +293,7 @@
 
 /// The table of a segment, made and saved if there is none. A segment without
 /// records is removed.
-fn table(folder: &Path, segment: Segment) -> io::Result<Option<Table>> {
+fn table(folder: &Path, segment: Segment, saver: &Saver) -> io::Result<Option<Table>> {
     let length = fs::metadata(path(folder, segment))?.len();
     if let Some(table) = Table::load(folder, segment, length) {
         return Ok(Some(table));
@@ -298,7 +308,7 @@
         return Ok(None);
     }
     table.sort();
-    writer::save(folder, segment, length, table.clone());
+    saver.save(segment, length, table.clone());
     Ok(Some(table))
 }
 
--- a/crates/gradedyke-turns/src/log/writer.rs
+++ b/crates/gradedyke-turns/src/log/writer.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{HEAD, Outline, Place, SEGMENT_BYTES, Segment, Table, create, short};
 
@@ -22,17 +22,19 @@
     bytes: usize,
     active: Arc<AtomicU32>,
     table: Table,
+    saver: Saver,
 }
 
 impl Writer {
     /// Writes to `file`, the segment that `active` names.
-    pub(super) fn new(folder: &Path, file: File, active: Arc<AtomicU32>) -> Self {
+    pub(super) fn new(folder: &Path, file: File, active: Arc<AtomicU32>, saver: Saver) -> Self {
         Self {
             folder: folder.to_owned(),
             file,
             bytes: 0,
             active,
             table: Table::default(),
+            saver,
         }
     }
 
@@ -98,22 +100,43 @@
         self.active.store(next, Ordering::Release);
         let mut table = std::mem::take(&mut self.table);
         table.sort();
-        save(&self.folder, ended, length as u64, table);
+        self.saver.save(ended, length as u64, table);
         Ok(())
     }
 }
 
-/// Saves a table in a thread of its own: records do not wait for it, and without it
+/// Saves tables in threads of their own: records do not wait for them, and without one
 /// the next start only reads the segment.
-pub(super) fn save(folder: &Path, segment: Segment, length: u64, table: Table) {
-    let folder = folder.to_owned();
-    let save = move || {
-        if let Err(error) = table.save(&folder, segment, length) {
+#[derive(Clone)]
+pub(super) struct Saver {
+    folder: PathBuf,
+    /// How many were saved.
+    saved: watch::Sender<usize>,
+}
+
+impl Saver {
+    pub(super) fn new(folder: &Path) -> Self {
+        Self {
+            folder: folder.to_owned(),
+            saved: watch::Sender::new(0),
+        }
+    }
+
+    /// Sees each table that is saved from now on.
+    pub(super) fn saved(&self) -> watch::Receiver<usize> {
+        self.saved.subscribe()
+    }
+
+    /// Saves the table of a segment of `length` bytes.
+    pub(super) fn save(&self, segment: Segment, length: u64, table: Table) {
+        let saver = self.clone();
+        let save = move || match table.save(&saver.folder, segment, length) {
+            Ok(()) => saver.saved.send_modify(|saved| *saved += 1),
+            Err(error) => tracing::warn!(event = "table_not_saved", segment, %error),
+        };
+        let thread = std::thread::Builder::new().name("turn-table".to_owned());
+        if let Err(error) = thread.spawn(save) {
             tracing::warn!(event = "table_not_saved", segment, %error);
         }
-    };
-    let thread = std::thread::Builder::new().name("turn-table".to_owned());
-    if let Err(error) = thread.spawn(save) {
-        tracing::warn!(event = "table_not_saved", segment, %error);
     }
 }
--- a/crates/gradedyke-turns/tests/log.rs
+++ b/crates/gradedyke-turns/tests/log.rs
@@ -184,15 +184,12 @@
     tables
 }
 
-/// Waits for tables, which are written beside the records.
-async fn until_saved(folder: &Path, count: usize) {
-    for _ in 0..2_000 {
-        if tables(folder).len() == count {
-            return;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-    }
-    panic!("{:?} in place of {count} tables", tables(folder));
+/// Waits until a log has saved so many tables, which it does beside the records.
+async fn until_saved(log: Log, count: usize) {
+    let mut saved = log.saved();
+    // What it still saves goes on, and a table that cannot be saved ends the wait.
+    drop(log);
+    saved.wait_for(|saved| *saved == count).await.unwrap();
 }
 
 #[tokio::test]
@@ -204,8 +201,7 @@
     for name in ["a", "b", "c"] {
         places.push(log.append(&turn(name, 3 << 20)).await.unwrap());
     }
-    until_saved(folder.path(), 2).await;
-    drop(log);
+    until_saved(log, 2).await;
     let check = |what: &str| {
         let (log, tables) = Log::open(folder.path()).unwrap();
         for (name, place) in ["a", "b", "c"].into_iter().zip(&places) {
@@ -217,9 +213,10 @@
             let record = &log.read(&found).unwrap()[0];
             assert_eq!(record.key().request, id(name), "{what}");
         }
+        log
     };
-    check("as they are");
-    until_saved(folder.path(), 3).await;
+    // That of the segment that was being written is made at the start.
+    until_saved(check("as they are"), 1).await;
     let whole = fs::read(&tables(folder.path())[0]).unwrap();
     let changed = |at: usize| {
         let mut bytes = whole.clone();
@@ -236,9 +233,10 @@
     ];
     for (what, bytes) in cases {
         fs::write(&tables(folder.path())[0], &bytes).unwrap();
-        check(what);
+        until_saved(check(what), 1).await;
     }
     fs::remove_file(&tables(folder.path())[0]).unwrap();
-    check("missing");
-    until_saved(folder.path(), 3).await;
+    until_saved(check("missing"), 1).await;
+    assert_eq!(tables(folder.path()).len(), 3);
+    assert_eq!(fs::read(&tables(folder.path())[0]).unwrap(), whole);
 }
