Split the index by job; how long records are kept counts from a time that is given

What is known of one request, records made of it again, and the state itself are three files; moves, but for the time, which was read inside. What only its own module uses is private again.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -134,7 +134,7 @@
     }
 
     /// Shows which configuration is in force here, and how old what is known is.
-    pub fn gauge(&self, now: Instant) {
+    pub(crate) fn gauge(&self, now: Instant) {
         if let Some(config) = &*self.config.load() {
             metrics::gauge!("gradedyke_config_version").set(config.version as f64);
         }
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -31,7 +31,7 @@
 /// Age of a copy above which another source, or the service itself, is asked.
 /// Watches of the service answer at least every 0.7 s, news come two hops of
 /// 0.3 s at most, and a change of configuration may take 2 s.
-pub const STALE: Duration = Duration::from_millis(1_300);
+const STALE: Duration = Duration::from_millis(1_300);
 
 /// How long a source is followed whose copy is old, before all are asked again
 /// for a fresh one.
--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -6,8 +6,13 @@
 //!
 //! Requests and programs lie in arenas and refer to each other by small keys: a
 //! name is looked up once for a record, and a chain is walked without hashing.
+//!
+//! `request` holds what is known of one request or program, `answer` makes records of it
+//! again, and `expire` forgets.
 
+mod answer;
 mod expire;
+mod request;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -19,7 +24,10 @@
 use crate::body::{Body, Cache};
 use crate::conversation::{Conversation, Part};
 use crate::log::{Place, Segment};
-use crate::record::{Id, Key, Kind, Record, Reserved, Settled, Turn};
+use crate::record::{Id, Key, Kind, Record, Turn};
+use request::{Kept, Program, Request, Spot};
+
+pub use answer::Answer;
 
 /// Kept beyond the time asked for: a caller's clock starts when the last byte
 /// reaches it, ours when the record is applied.
@@ -36,97 +44,12 @@
     pub settled: bool,
 }
 
-/// A record that was asked for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// It follows from what is in memory.
-    Held(Record),
-    /// It is on disk only.
-    Stored(Place),
-}
-
 new_key_type! {
     /// A request of which there are records, or which a turn continues.
     pub struct RequestKey;
     struct ProgramKey;
 }
 
-/// Where a record is.
-#[derive(Clone, Copy)]
-enum Spot {
-    /// It is being written to this segment.
-    Coming(Segment),
-    /// It is on disk.
-    Stored(Place),
-}
-
-impl Spot {
-    fn segment(self) -> Segment {
-        match self {
-            Self::Coming(segment) => segment,
-            Self::Stored(place) => place.segment,
-        }
-    }
-
-    fn place(self) -> Option<Place> {
-        match self {
-            Self::Coming(_) => None,
-            Self::Stored(place) => Some(place),
-        }
-    }
-}
-
-/// What the records of one request say.
-struct Request {
-    id: Id,
-    program: Option<ProgramKey>,
-    reserved: Option<u32>,
-    settled: Option<u32>,
-    turn: Option<Box<Kept>>,
-    /// Where its records are, by kind.
-    spots: [Option<Spot>; KINDS],
-}
-
-/// Kinds of record.
-const KINDS: usize = 3;
-
-impl Request {
-    fn new(id: Id) -> Self {
-        Self {
-            id,
-            program: None,
-            reserved: None,
-            settled: None,
-            turn: None,
-            spots: [None; KINDS],
-        }
-    }
-
-    fn has(&self, kind: Kind) -> bool {
-        self.spots[kind as usize].is_some()
-    }
-
-    fn is_empty(&self) -> bool {
-        self.spots.iter().all(Option::is_none)
-    }
-}
-
-struct Program {
-    name: Id,
-    attempts: Vec<RequestKey>,
-    until: Instant,
-}
-
-/// A turn without what was said in it.
-struct Kept {
-    parent: Option<RequestKey>,
-    server: Id,
-    program: Option<Id>,
-    tokens: u32,
-    keep_ms: u32,
-    until: Instant,
-}
-
 /// Where in the stream of arrivals a reader stands.
 pub type Position = u64;
 
@@ -435,67 +358,6 @@
         (keys.collect(), next)
     }
 
-    /// The record of a key, if it is here.
-    pub fn record(&mut self, key: &Key) -> Option<Answer> {
-        let request = *self.names.get(&key.request)?;
-        match key.kind {
-            Kind::Turn => self.turn(request),
-            Kind::Reserved => self.reserved(request).map(Answer::Held),
-            Kind::Settled => self.settled(request).map(Answer::Held),
-        }
-    }
-
-    fn turn(&mut self, key: RequestKey) -> Option<Answer> {
-        let part = self.part(key)?;
-        let request = &self.requests[key];
-        let kept = request.turn.as_ref()?;
-        let body = match part {
-            Part::Held(body) => body,
-            Part::Stored(place) => return Some(Answer::Stored(place)),
-        };
-        let parent = kept.parent.map(|key| self.requests[key].id.clone());
-        Some(Answer::Held(Record::Turn(Turn {
-            request: request.id.clone(),
-            parent,
-            input: body.input,
-            output: body.output,
-            server: kept.server.clone(),
-            program: kept.program.clone(),
-            tokens: kept.tokens,
-            keep_ms: kept.keep_ms,
-        })))
-    }
-
-    /// The name of an attempt's program, and how long its attempts count still.
-    fn owner(&self, request: &Request) -> Option<(Id, u32)> {
-        let program = &self.programs[request.program?];
-        let left = program.until.saturating_duration_since(Instant::now());
-        let keep_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-        Some((program.name.clone(), keep_ms))
-    }
-
-    fn reserved(&self, key: RequestKey) -> Option<Record> {
-        let request = &self.requests[key];
-        let (program, keep_ms) = self.owner(request)?;
-        Some(Record::Reserved(Reserved {
-            program,
-            request: request.id.clone(),
-            tokens: request.reserved?,
-            keep_ms,
-        }))
-    }
-
-    fn settled(&self, key: RequestKey) -> Option<Record> {
-        let request = &self.requests[key];
-        let (program, keep_ms) = self.owner(request)?;
-        Some(Record::Settled(Settled {
-            program,
-            request: request.id.clone(),
-            tokens: request.settled?,
-            keep_ms,
-        }))
-    }
-
     /// Forgets a segment that was removed from the disk.
     pub fn removed(&mut self, segment: Segment) {
         self.live.remove(&segment);
--- a/crates/gradedyke-turns/src/index/expire.rs
+++ b/crates/gradedyke-turns/src/index/expire.rs
@@ -4,7 +4,8 @@
 
 use tokio::time::Instant;
 
-use super::{Index, Kept, RequestKey, Spot};
+use super::request::{Kept, Spot};
+use super::{Index, RequestKey};
 use crate::log::Segment;
 use crate::record::{Id, Kind};
 
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -331,7 +331,8 @@
         let mut stored = Vec::new();
         {
             let mut index = self.index();
-            for answer in keys.iter().filter_map(|k| index.record(k)) {
+            let now = Instant::now();
+            for answer in keys.iter().filter_map(|k| index.record(k, now)) {
                 match answer {
                     Answer::Held(record) => records.push(record),
                     Answer::Stored(place) => stored.push(place),
--- a/crates/gradedyke-turns/tests/index.rs
+++ b/crates/gradedyke-turns/tests/index.rs
@@ -165,7 +165,7 @@
     let (none, same) = index.arrived(end, 100);
     assert_eq!((none.len(), same), (0, end));
     for key in first.iter().chain(&rest) {
-        let Some(Answer::Held(record)) = index.record(key) else {
+        let Some(Answer::Held(record)) = index.record(key, now) else {
             panic!("{key:?} is not held");
         };
         assert_eq!(record.key(), *key);
@@ -188,7 +188,10 @@
     let conversation = index.conversation(&id("c")).unwrap();
     assert_eq!(conversation.stored(), [place(1, 100)]);
     assert!(conversation.chain(&[]).is_none());
-    assert_eq!(index.record(&key("a")), Some(Answer::Stored(place(1, 100))));
+    assert_eq!(
+        index.record(&key("a"), now),
+        Some(Answer::Stored(place(1, 100)))
+    );
     // Read again, it is held again, and the other one that is on disk goes.
     let body = Body {
         input: "in-a;".into(),
