--- a/crates/gradedyke-gateway/src/news.rs
+++ b/crates/gradedyke-gateway/src/news.rs
@@ -19,9 +19,10 @@
 const BESIDE: Duration = Duration::from_millis(400);
 
 /// How a keeper follows the platform. A process that has to read it begins within 0.15 s, so
-/// that a change is in force in 2 s, and one whose call failed (after 1.5 s) tries again
-/// within 1 s, so that it is there 3 s after the end of an outage. With looks of 1 s and
-/// waits of 2.5 s, half more or less, lone entries were not there by then (virtual time).
+/// that a change is in force in 2 s, and calls again within 0.8 s of a call that failed (one
+/// that has no answer is given up after 1.5 s), so that it is there 3 s after the end of an
+/// outage. With looks of 1 s and waits of 2.5 s, half more or less, lone entries were not
+/// there by then (virtual time).
 pub const KEEPER_PACE: mirror::Pace = mirror::Pace {
     look: Duration::from_millis(100),
     beside: Some(BESIDE),
