Callers that read nothing are cut off

Cause: a caller that neither reads nor closes held its stream, the connection to its server and up to 64 events for as long as it liked; nothing bounded that.

Change: callers' connections carry the system's bound on unread bytes, 10 s. A caller that reads slowly is served on; what waits for it stays bounded by the 64 events of a stream and the connection's own buffer.

--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -58,6 +58,10 @@
 /// usually let rest, because it counts from the start of the last request.
 const REST: Duration = Duration::from_secs(30);
 
+/// Longest time for which a caller may leave an answer unread: longer than callers wait for
+/// one.
+const UNREAD: Duration = Duration::from_secs(10);
+
 /// A running process. Its tasks end with it.
 pub struct Process {
     stop: CancellationToken,
@@ -175,6 +179,7 @@
             protocol: Protocol::Http1,
             connections: CONNECTIONS,
             idle: Some(REST),
+            unread: Some(UNREAD),
             ..Config::default()
         };
         let door = bind(caller, config.clone(), "listen.caller").await?;
--- a/crates/gradedyke-http/src/server.rs
+++ b/crates/gradedyke-http/src/server.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
@@ -50,6 +51,10 @@
     /// Time from a connection's last request on after which it is closed, if
     /// nothing is in progress on it then.
     pub idle: Option<Duration>,
+    /// Longest time for which a peer may leave what was sent to it unread before its
+    /// connection is cut. What waits for it takes memory, and so does whatever waits
+    /// behind that.
+    pub unread: Option<Duration>,
 }
 
 impl Default for Config {
@@ -59,6 +64,7 @@
             head: Duration::from_secs(5),
             connections: 8_192,
             idle: None,
+            unread: None,
         }
     }
 }
@@ -167,6 +173,12 @@
 ) {
     // Small writes carry tokens to people who wait for them.
     let _ = stream.set_nodelay(true);
+    if config.unread.is_some()
+        && let Err(error) = SockRef::from(&stream).set_tcp_user_timeout(config.unread)
+    {
+        tracing::warn!(event = "unread_not_bounded", %error,
+            remedy = "see whether the system supports TCP_USER_TIMEOUT");
+    }
     let (active, requests) = watch::channel(());
     let service = service_fn(move |request| {
         let handler = handler.clone();
