News of the platform's store: listings in shared pages, and no listing twice

A question for changes also went through all keys, so a keeper's work grew with entries times servers.

Change: items are held in the order of their changes as well. Listings and changes come in pages of 64 KiB, encoded and compressed once for all who ask from the same point; a listing that breaks off goes on where it was, and a page counts as news. Who changes its source is told only what is newer than the revision through which its copy is complete, if the source knows of all deletions since.

--- a/crates/gradedyke-gateway/tests/news/network.rs
+++ b/crates/gradedyke-gateway/tests/news/network.rs
@@ -86,13 +86,12 @@
         match request {
             Request::Age => feed::tell_age(&mirror, Instant::now()),
             Request::Follow {
-                boot,
-                since,
+                cursor,
                 wait_ms,
                 address: asker,
             } => {
                 let wait = Duration::from_millis((*wait_ms).into());
-                let mut news = feed::tell(&mirror, *boot, *since, wait).await;
+                let mut news = feed::tell(&mirror, cursor, wait).await;
                 if let Some(asker) = asker.filter(|_| keeper) {
                     news.neighbours = self.neighbours(asker);
                 }
--- a/crates/gradedyke-load/src/main.rs
+++ b/crates/gradedyke-load/src/main.rs
@@ -5,6 +5,7 @@
 //! compares side by side in one run and gives ratios beside the raw figures.
 
 mod decision;
+mod listing;
 mod memory;
 mod overhead;
 mod placement;
@@ -28,11 +29,15 @@
 ";
 
 /// The experiments, with what each one tells.
-const EXPERIMENTS: [(&str, &str); 8] = [
+const EXPERIMENTS: [(&str, &str); 9] = [
     (
         "decision",
         "processor time of a choice of a server, by the number of servers",
     ),
+    (
+        "listing",
+        "what a first listing of the platform's service costs, by the number of its keys",
+    ),
     (
         "overhead",
         "a call through entry and owner against the same straight to the engine",
@@ -101,6 +106,7 @@
     match name {
         "overhead" => overhead::run(short).await,
         "decision" => decision::measure(short),
+        "listing" => listing::measure(short),
         "placement" => Ok(placement::measure(short)),
         "recovery" => recovery::run(short).await,
         "relay" => relay::run(short).await,
--- a/crates/gradedyke-turns/src/desk.rs
+++ b/crates/gradedyke-turns/src/desk.rs
@@ -115,8 +115,7 @@
 
     async fn answer(&self, request: Request, unread: Duration) -> Reply {
         if let Request::Follow {
-            boot,
-            since,
+            cursor,
             wait_ms,
             address,
         } = request
@@ -125,7 +124,7 @@
                 replica.board().note(address, Instant::now());
             }
             let wait = Duration::from_millis(wait_ms.into());
-            let mut news = feed::tell(&self.mirror, boot, since, wait).await;
+            let mut news = feed::tell(&self.mirror, &cursor, wait).await;
             if let Some(replica) = &*self.replica.borrow() {
                 news.neighbours = replica.board().neighbours(Instant::now());
             }
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -51,13 +51,10 @@
             Request::Via { to, body } => (to, body),
             Request::Age => return feed::tell_age(self.quorum.mirror(), Instant::now()),
             Request::Follow {
-                boot,
-                since,
-                wait_ms,
-                ..
+                cursor, wait_ms, ..
             } => {
                 let wait = Duration::from_millis(wait_ms.into());
-                return Reply::News(feed::tell(self.quorum.mirror(), boot, since, wait).await);
+                return Reply::News(feed::tell(self.quorum.mirror(), &cursor, wait).await);
             }
             _ => return Reply::Failed("an entry keeps no records; ask a keeper".to_owned()),
         };
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::message::{self, Reply, Request};
-use crate::mirror::{Mirror, News};
+use crate::mirror::{Cursor, Item, Mirror, News};
 use crate::quorum::Quorum;
 
 pub use reader::{ENTRY_START, KEEPER_START, Reader, Standby};
@@ -49,18 +49,18 @@
 /// Longest wait for news, whatever is asked for.
 const NEWS_WAIT: Duration = Duration::from_secs(5);
 
-/// Tells what changed in `mirror` after `since`, a point of the process start `boot`; waits
-/// up to `wait` for a change. Without one the news still tell how old the copy is.
-pub async fn tell(mirror: &Mirror, boot: u64, since: u64, wait: Duration) -> News {
+/// Tells what changed in `mirror` after `cursor`; waits up to `wait` for a change. Without
+/// one the news still tell how old the copy is.
+pub async fn tell(mirror: &Mirror, cursor: &Cursor, wait: Duration) -> News {
     let arrived = Instant::now();
     let mut changed = mirror.watch();
-    let news = mirror.news(boot, since, arrived, arrived);
-    if !news.items.is_empty() || news.whole.is_some() || news.boot != boot {
+    let news = mirror.news(cursor, arrived, arrived);
+    if !news.items.is_empty() || news.listing {
         return news;
     }
-    let more = changed.wait_for(|change| *change > since);
+    let more = changed.wait_for(|change| *change > cursor.change);
     let _ = tokio::time::timeout(wait.min(NEWS_WAIT), more).await;
-    mirror.news(boot, since, arrived, Instant::now())
+    mirror.news(cursor, arrived, Instant::now())
 }
 
 /// Tells how old the copy in `mirror` is.
@@ -177,13 +177,21 @@
     neighbours
 }
 
-/// How far each source has been followed: its process start, and the change.
-type Positions = HashMap<SocketAddr, (u64, u64)>;
+/// How far each source has been followed.
+type Positions = HashMap<SocketAddr, Position>;
+
+/// How far a source has been followed.
+#[derive(Default)]
+struct Position {
+    cursor: Cursor,
+    /// The pages of a listing so far. It goes on from there when the source answers again.
+    listed: Vec<Item>,
+}
 
 /// The source that is followed.
 struct Joined<'a> {
     source: SocketAddr,
-    position: &'a mut (u64, u64),
+    position: &'a mut Position,
     /// Whether it is another entry, which has its news from elsewhere.
     neighbour: bool,
     /// Whether the log says so already.
@@ -284,10 +292,12 @@
     let wait_ms = u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX);
     let since = Instant::now();
     loop {
-        let (boot, after) = *joined.position;
+        let cursor = Cursor {
+            through: mirror.through(),
+            ..joined.position.cursor
+        };
         let request = Request::Follow {
-            boot,
-            since: after,
+            cursor,
             wait_ms,
             address: peers.own(),
         };
@@ -297,18 +307,23 @@
             Ok(_) | Err(Unanswered::NotUnderstood) => return Left::NotUnderstood,
             Err(Unanswered::Failed(_)) => return Left::Silent,
         };
+        let Ok(items) = news.items.unpack() else {
+            return Left::NotUnderstood;
+        };
         let age = news.age_ms.map(Duration::from_millis);
-        *joined.position = (news.boot, news.next);
-        let now = Instant::now();
-        mirror.learn(news, asked, now);
-        if !std::mem::replace(&mut joined.told, true) {
-            tracing::info!(event = "feed_joined", %source, neighbour = joined.neighbour, age = ?age);
-        }
         let fresh = age.is_some_and(|a| a <= STALE);
+        let now = Instant::now();
         // Another entry may have its news from here.
         if !joined.neighbour {
             reader.heard(fresh, now);
         }
+        let Some(items) = joined.position.gather(&news, items) else {
+            continue;
+        };
+        mirror.learn(news, items, asked, now);
+        if !std::mem::replace(&mut joined.told, true) {
+            tracing::info!(event = "feed_joined", %source, neighbour = joined.neighbour, age = ?age);
+        }
         if !fresh && now - since > OLD {
             return Left::Old;
         }
@@ -317,3 +332,21 @@
         }
     }
 }
+
+impl Position {
+    /// Takes in how far `news` go, which bring `items`. Returns what may be taken in:
+    /// changes, or a whole listing at its last page.
+    fn gather(&mut self, news: &News, mut items: Vec<Item>) -> Option<Vec<Item>> {
+        if news.boot != self.cursor.boot || !news.listing {
+            self.listed.clear();
+        }
+        self.cursor.boot = news.boot;
+        self.cursor.change = news.next;
+        self.cursor.listing = news.listing && news.more;
+        if !news.listing {
+            return Some(items);
+        }
+        self.listed.append(&mut items);
+        (!news.more).then(|| std::mem::take(&mut self.listed))
+    }
+}
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -9,7 +9,7 @@
 use crate::conversation::Chain;
 use crate::index::{Attempt, Position};
 use crate::load::{Busy, Report};
-use crate::mirror::News;
+use crate::mirror::{Cursor, News};
 use crate::pressure::Pressure;
 use crate::record::{Id, Key, Record, Reserved};
 use crate::usage::{self, Total};
@@ -79,11 +79,9 @@
     Records(Vec<Key>),
     /// Reads what changed in the mirror of the platform's service.
     Follow {
-        /// The start of the replica that `since` belongs to.
-        boot: u64,
-        /// After which change.
-        since: u64,
-        /// How long to wait for one, in milliseconds.
+        /// How far the asker has followed.
+        cursor: Cursor,
+        /// How long to wait for a change, in milliseconds.
         wait_ms: u32,
         /// Where the asker passes requests of others on, if it does.
         address: Option<SocketAddr>,
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -6,11 +6,14 @@
 //! way or how often it arrives: the later revision stands, and nothing that was
 //! in force ever comes back. An outage leaves the copy as it was.
 //!
-//! `follow` reads and watches the service; see [`crate::feed`] for the others.
+//! `follow` reads and watches the service; see [`crate::feed`] for the others. `items` holds
+//! what is known, and `packed` is how it travels.
 
 mod follow;
+mod items;
+mod packed;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -22,6 +25,11 @@
 use tokio::time::Instant;
 
 pub use follow::{Need, Pace, follow};
+use items::{Items, Page};
+pub use packed::Packed;
+
+/// Pages that are held for others who ask for the same.
+const PAGES: usize = 256;
 
 /// A key with its value; no value when it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +52,20 @@
     }
 }
 
+/// How far a process has followed another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// The start of the followed process.
+    pub boot: u64,
+    /// Its last change that is known.
+    pub change: u64,
+    /// Whether that is a point within a listing, which goes on from there.
+    pub listing: bool,
+    /// Through which revision the follower's copy is complete, whoever told it; 0 if it is
+    /// not.
+    pub through: Revision,
+}
+
 /// What changed since a point.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct News {
@@ -52,8 +74,14 @@
     /// The point to go on from.
     pub next: u64,
     /// The changes.
-    pub items: Vec<Item>,
-    /// All keys are in `items`: one that is not, and is not newer than this
+    pub items: Packed,
+    /// Whether these belong to a listing, whose pages are of use only together.
+    pub listing: bool,
+    /// Whether more follow after `next`.
+    pub more: bool,
+    /// Through which revision the copy is complete with all this.
+    pub through: Option<Revision>,
+    /// All keys are in the listing's items: one that is not, and is not newer than this
     /// revision, is gone.
     pub whole: Option<Revision>,
     /// Milliseconds since the service last confirmed all this; none if never.
@@ -68,18 +96,13 @@
     pub neighbours: Vec<SocketAddr>,
 }
 
-struct Held {
-    item: Item,
-    change: u64,
-    /// When this process learned of the change.
-    learned: Instant,
-}
-
 /// How far a prefix is known.
 #[derive(Clone, Copy, Debug, Default)]
 struct Through {
     /// Through which revision.
     revision: Revision,
+    /// The revision of the first listing: what was deleted after it is known as deleted.
+    since: Revision,
     /// When the service last confirmed that.
     confirmed: Option<Instant>,
     /// When the question was sent that it confirmed it to: what the service had taken
@@ -89,8 +112,9 @@
 
 #[derive(Default)]
 struct State {
-    items: BTreeMap<String, Held>,
-    change: u64,
+    items: Items,
+    /// Pages that were told, with the change up to which they hold.
+    pages: (u64, HashMap<(u64, Revision), Page>),
     /// Of each prefix that was listed.
     through: HashMap<String, Through>,
     /// The change at which a prefix was last listed for the first time: who was told
@@ -136,7 +160,7 @@
     /// A key's value and revision, if it is there.
     pub fn get(&self, key: &str) -> Option<(Bytes, Revision)> {
         let state = self.lock();
-        let item = &state.items.get(key)?.item;
+        let item = state.items.get(key)?;
         Some((item.value.clone()?, item.revision))
     }
 
@@ -144,10 +168,9 @@
     /// deleted ones too.
     pub fn list(&self, prefix: &str) -> Vec<(Item, Instant)> {
         let state = self.lock();
-        let from = state.items.range(prefix.to_owned()..);
-        let under = from.take_while(|(key, _)| key.starts_with(prefix));
+        let under = state.items.under(prefix);
         under
-            .map(|(_, held)| (held.item.clone(), held.learned))
+            .map(|held| (held.item.clone(), held.learned))
             .collect()
     }
 
@@ -155,16 +178,20 @@
     /// learned, and the point to go on from.
     pub fn since(&self, change: u64) -> (Vec<(Item, Instant)>, u64) {
         let state = self.lock();
-        let fresh = state.items.values().filter(|h| h.change > change);
+        let fresh = state.items.after(change);
         let fresh = fresh.map(|h| (h.item.clone(), h.learned)).collect();
-        (fresh, state.change)
+        (fresh, state.items.change())
     }
 
     /// All items, without those that were deleted.
     pub fn items(&self) -> Vec<Item> {
         let state = self.lock();
-        let items = state.items.values().map(|h| &h.item);
-        items.filter(|i| i.value.is_some()).cloned().collect()
+        state
+            .items
+            .all()
+            .filter(|i| i.value.is_some())
+            .cloned()
+            .collect()
     }
 
     /// How long ago the service confirmed the copy; `None` before it ever did.
@@ -189,6 +216,11 @@
         self.lock().steady
     }
 
+    /// Through which revision the copy is complete; 0 if it is not.
+    pub fn through(&self) -> Revision {
+        self.lock().complete(&self.prefixes).unwrap_or_default()
+    }
+
     /// Takes changes in.
     pub fn put(&self, items: Vec<Item>, now: Instant) {
         let mut state = self.lock();
@@ -206,8 +238,18 @@
         self.tell(state, fresh);
     }
 
+    /// Takes in changes of `prefix` that the service told of: all of them after those that
+    /// are known.
+    fn watched(&self, prefix: &str, items: Vec<Item>, now: Instant) {
+        let latest = items.iter().map(|i| i.revision).max();
+        self.put(items, now);
+        if let Some(through) = self.lock().through.get_mut(prefix) {
+            through.revision = latest.unwrap_or_default().max(through.revision);
+        }
+    }
+
     fn tell(&self, state: MutexGuard<'_, State>, fresh: bool) {
-        let change = state.change;
+        let change = state.items.change();
         drop(state);
         if fresh {
             self.changed.send_replace(change);
@@ -227,23 +269,36 @@
         self.lock().steady = None;
     }
 
-    /// What changed after `since`, a point of the process start `boot`, for a question
-    /// that came in at `arrived`.
-    pub fn news(&self, boot: u64, since: u64, arrived: Instant, now: Instant) -> News {
-        let state = self.lock();
-        let known = boot == self.boot && since >= state.listed;
-        let since = if known { since } else { 0 };
-        let through = self.prefixes.iter();
-        let through = through.map(|p| state.through.get(p).map(|t| t.revision));
-        let complete = through.min().flatten();
-        let fresh = state.items.values().filter(|h| h.change > since);
+    /// What changed after `cursor`, for a question that came in at `arrived`: a page of it,
+    /// if it is much.
+    ///
+    /// Whoever follows this process for the first time gets a listing. A follower whose copy
+    /// is complete through a revision from which on this process knows of all deletions gets
+    /// only what is newer.
+    pub fn news(&self, cursor: &Cursor, arrived: Instant, now: Instant) -> News {
+        let mut state = self.lock();
+        let known = cursor.boot == self.boot && cursor.change >= state.listed;
+        let goes_on = cursor.boot == self.boot && cursor.listing;
+        let listing = goes_on || !known;
+        let covered = state.covers(&self.prefixes, cursor.through);
+        let above = if listing && covered {
+            cursor.through
+        } else {
+            0
+        };
+        let after = if goes_on || known { cursor.change } else { 0 };
+        let page = state.page(after, above);
+        let through = state.complete(&self.prefixes).filter(|_| !page.more);
         let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
         let past = |at: Instant| ms(now.saturating_duration_since(at));
         News {
             boot: self.boot,
-            next: state.change,
-            items: fresh.map(|h| h.item.clone()).collect(),
-            whole: complete.filter(|_| !known),
+            next: page.next,
+            items: page.items,
+            listing,
+            more: page.more,
+            through,
+            whole: through.filter(|_| listing && !covered),
             age_ms: state.confirmed(&self.prefixes).map(past),
             asked_ms: state
                 .least(&self.prefixes, |t| t.asked)
@@ -254,24 +309,29 @@
     }
 
     /// Takes in at `now` what another process answered to a question that was sent at
-    /// `asked`.
-    pub fn learn(&self, news: News, asked: Instant, now: Instant) {
+    /// `asked`, with the items that its pages held together.
+    pub fn learn(&self, news: News, items: Vec<Item>, asked: Instant, now: Instant) {
         let mut state = self.lock();
         let mut fresh = false;
         match news.whole {
             Some(revision) => {
                 for prefix in &self.prefixes {
                     let under = |i: &&Item| i.key.starts_with(prefix.as_str());
-                    let items = news.items.iter().filter(under).cloned().collect();
+                    let items = items.iter().filter(under).cloned().collect();
                     fresh |= state.replace(prefix, items, revision, now);
                 }
             }
             None => {
-                for item in news.items {
+                for item in items {
                     fresh |= state.put(item, now);
                 }
             }
         }
+        for prefix in &self.prefixes {
+            if let Some(through) = state.through.get_mut(prefix) {
+                through.revision = news.through.unwrap_or_default().max(through.revision);
+            }
+        }
         if !news.neighbours.is_empty() {
             state.neighbours = news.neighbours;
         }
@@ -308,6 +368,20 @@
 }
 
 impl State {
+    /// Through which revision all prefixes are known.
+    fn complete(&self, prefixes: &[String]) -> Option<Revision> {
+        let through = prefixes.iter().map(|p| self.through.get(p));
+        through.map(|t| t.map(|t| t.revision)).min().flatten()
+    }
+
+    /// Whether all that was deleted after a revision is known as deleted.
+    fn covers(&self, prefixes: &[String], revision: Revision) -> bool {
+        let covers = |t: &Through| revision > 0 && revision >= t.since;
+        prefixes
+            .iter()
+            .all(|p| self.through.get(p).is_some_and(covers))
+    }
+
     /// When all prefixes were last confirmed.
     fn confirmed(&self, prefixes: &[String]) -> Option<Instant> {
         self.least(prefixes, |t| t.confirmed)
@@ -330,19 +404,27 @@
         }
     }
 
+    /// A page of what changed. All who follow from the same point are told the same one.
+    fn page(&mut self, after: u64, above: Revision) -> Page {
+        let change = self.items.change();
+        if self.pages.0 != change {
+            self.pages = (change, HashMap::new());
+        }
+        let items = &self.items;
+        let pages = &mut self.pages.1;
+        if pages.len() >= PAGES {
+            pages.clear();
+        }
+        let page = pages.entry((after, above));
+        page.or_insert_with(|| items.page(after, above)).clone()
+    }
+
     fn put(&mut self, item: Item, now: Instant) -> bool {
-        if let Some(held) = self.items.get(&item.key)
-            && held.item.revision >= item.revision
-        {
+        let held = self.items.get(&item.key);
+        if held.is_some_and(|held| held.revision >= item.revision) {
             return false;
         }
-        self.change += 1;
-        let held = Held {
-            change: self.change,
-            learned: now,
-            item,
-        };
-        self.items.insert(held.item.key.clone(), held);
+        self.items.put(item, now);
         true
     }
 
@@ -353,45 +435,33 @@
         revision: Revision,
         now: Instant,
     ) -> bool {
-        let listed: std::collections::HashSet<_> = items.iter().map(|i| i.key.clone()).collect();
-        let gone = |held: &&Held| {
-            let item = &held.item;
-            item.key.starts_with(prefix)
-                && item.value.is_some()
-                && item.revision <= revision
-                && !listed.contains(&item.key)
+        let listed: HashSet<&str> = items.iter().map(|i| i.key.as_str()).collect();
+        let gone = |item: &&Item| {
+            item.value.is_some() && item.revision <= revision && !listed.contains(item.key.as_str())
         };
-        let gone: Vec<String> = self
-            .items
-            .values()
-            .filter(gone)
-            .map(|h| h.item.key.clone())
-            .collect();
-        let mut fresh = false;
+        let under = self.items.under(prefix).map(|held| &held.item);
+        let gone: Vec<String> = under.filter(gone).map(|i| i.key.clone()).collect();
+        let mut fresh = !gone.is_empty();
         for key in gone {
-            // One above what is held, so that it stands over it; a later change
-            // has a higher revision still, for the listing is at least as new.
-            let value = None;
-            let revision = revision.max(1);
-            self.items.remove(&key);
-            fresh |= self.put(
-                Item {
-                    key,
-                    value,
-                    revision,
-                },
-                now,
-            );
+            // At least as new as what is held, and stands over it.
+            let item = Item {
+                key,
+                value: None,
+                revision: revision.max(1),
+            };
+            self.items.put(item, now);
         }
         for item in items {
             fresh |= self.put(item, now);
         }
         if !self.through.contains_key(prefix) {
-            self.change += 1;
-            self.listed = self.change;
+            self.listed = self.items.advance();
             fresh = true;
         }
-        let through = self.through.entry(prefix.to_owned()).or_default();
+        let through = self.through.entry(prefix.to_owned()).or_insert(Through {
+            since: revision,
+            ..Through::default()
+        });
         through.revision = revision.max(through.revision);
         fresh
     }
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -144,7 +144,7 @@
         retry.reset();
         let now = Instant::now();
         let changed = !events.is_empty();
-        mirror.put(events.into_iter().map(item).collect(), now);
+        mirror.watched(prefix, events.into_iter().map(item).collect(), now);
         mirror.confirm(prefix, asked, now);
         if changed {
             tokio::time::sleep(GATHER).await;
--- a/crates/gradedyke-turns/tests/feed.rs
+++ b/crates/gradedyke-turns/tests/feed.rs
@@ -82,7 +82,7 @@
     let address = listener.local_addr().unwrap();
     let mirror = holding();
     let now = Instant::now();
-    mirror.learn(news, now, now);
+    mirror.learn(news, holding().items(), now, now);
     let forwarder = Arc::new(Forwarder::new(Quorum::new(mirror, "here", None)));
     let serving = gradedyke_peer::server::serve(listener, forwarder, stop.clone());
     tokio::spawn(serving);
@@ -95,7 +95,6 @@
     let now = Instant::now();
     let confirmed = |age_ms| News {
         whole: Some(1),
-        items: holding().items(),
         age_ms: Some(age_ms),
         asked_ms: Some(20),
         ..News::default()
@@ -111,7 +110,7 @@
         neighbours: vec![old, fresh],
         ..News::default()
     };
-    mirror.learn(known, now, now);
+    mirror.learn(known, Vec::new(), now, now);
     let own = "127.0.0.1:1".parse().unwrap();
     let quorum = Quorum::new(mirror.clone(), "here", Some(own));
     let reader = Arc::new(Reader::new(now, ENTRY_START));
