Many changes of the directory get one line in the log

Cause: an entry that joins a fleet of 10,000 servers wrote 10,000 lines, one for each, at 0.12 of a core.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -155,9 +155,7 @@
         self.configure();
         let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
         let (items, next) = self.mirror.since(*applied);
-        for (item, learned) in items {
-            self.fleet.apply(&item, learned, &*self.dialect);
-        }
+        self.fleet.apply_all(&items, &*self.dialect);
         *applied = next;
     }
 
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -36,6 +36,10 @@
 pub use location::Location;
 use registry::Servers;
 
+/// Items that change at a time up to which each has a line in the log. A listing of thousands
+/// of servers would keep a small instance busy with nothing else.
+const LOGGED: usize = 64;
+
 new_key_type! {
     /// A backend server in the fleet.
     pub struct Key;
@@ -230,21 +234,21 @@
         if let Some(data_centre) = item.key.strip_prefix(dialect.evacuation_prefix()) {
             return self.evacuate(data_centre, item.value.is_some());
         }
-        let name = item.key.strip_prefix(dialect.server_prefix());
-        let Some(id) = name.and_then(Id::parse) else {
-            return;
-        };
-        let mut servers = self.lock();
-        let Some(value) = &item.value else {
-            servers.vanish(&id, learned);
-            return;
-        };
-        match dialect.server(&item.key, value) {
-            Ok(server) => servers.list(server, learned),
-            Err(error) => {
-                metrics::counter!("gradedyke_servers_not_read_total").increment(1);
-                servers.unread(&id, &error);
-            }
+        self.lock().apply(item, learned, dialect);
+    }
+
+    /// Takes in items of the directory that changed, each with the time at which that was
+    /// learned. Many at a time get one line in the log together.
+    pub fn apply_all(&self, items: &[(Item, Instant)], dialect: &dyn Dialect) {
+        let many = items.len() > LOGGED;
+        self.lock().quiet = many;
+        for (item, learned) in items {
+            self.apply(item, *learned, dialect);
+        }
+        self.lock().quiet = false;
+        if many {
+            let (items, listed) = (items.len(), self.listed());
+            tracing::info!(event = "directory_changed", items, listed);
         }
     }
 
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use gradedyke_turns::load::Busy;
+use gradedyke_turns::mirror::Item;
 use gradedyke_turns::record::Id;
 use slotmap::SlotMap;
 use tokio::time::Instant;
@@ -11,7 +12,7 @@
 use super::known::{Known, State};
 use super::slow_start;
 use super::{Key, Location, Question, Server, draw};
-use crate::dialect::Invalid;
+use crate::dialect::{Dialect, Invalid};
 use crate::estimate::{self, Times};
 use crate::health::Counts;
 use crate::link::Pool;
@@ -43,6 +44,8 @@
     /// Requests of late of each service whose servers warm up, and how many of these found
     /// no server.
     asked: HashMap<String, Window<Counts>>,
+    /// Whether changes of servers are left out of the log.
+    pub(super) quiet: bool,
     /// The data centres that are evacuated.
     pub(super) evacuated: HashSet<String>,
 }
@@ -62,6 +65,24 @@
         }
     }
 
+    /// Takes in an item of the directory that changed, which was learned then.
+    pub(super) fn apply(&mut self, item: &Item, learned: Instant, dialect: &dyn Dialect) {
+        let name = item.key.strip_prefix(dialect.server_prefix());
+        let Some(id) = name.and_then(Id::parse) else {
+            return;
+        };
+        let Some(value) = &item.value else {
+            return self.vanish(&id, learned);
+        };
+        match dialect.server(&item.key, value) {
+            Ok(server) => self.list(server, learned),
+            Err(error) => {
+                metrics::counter!("gradedyke_servers_not_read_total").increment(1);
+                self.unread(&id, &error);
+            }
+        }
+    }
+
     pub(super) fn list(&mut self, server: Server, learned: Instant) {
         self.unread.remove(&server.id);
         if let Some(key) = self.by_id.get(&server.id).copied() {
@@ -84,16 +105,20 @@
                 known.pool = Arc::new(Pool::new(server.address));
             }
             if known.server.leaving != server.leaving {
-                tracing::info!(event = "server_changed", server = %server.id,
-                    leaving = server.leaving);
+                if !self.quiet {
+                    tracing::info!(event = "server_changed", server = %server.id,
+                        leaving = server.leaving);
+                }
             }
             known.state = State::Listed;
             known.warm_at = Known::warm_at(&server, learned);
             known.server = server;
             return;
         }
-        tracing::info!(event = "server_listed", server = %server.id, service = server.service,
-            address = %server.address, leaving = server.leaving);
+        if !self.quiet {
+            tracing::info!(event = "server_listed", server = %server.id, service = server.service,
+                address = %server.address, leaving = server.leaving);
+        }
         let id = server.id.clone();
         let service = server.service.clone();
         let key = self.servers.insert(Known::new(server, learned));
@@ -139,9 +164,12 @@
         let Some(known) = self.by_id.get(id).copied() else {
             return;
         };
+        let quiet = self.quiet;
         let known = &mut self.servers[known];
         if known.state == State::Listed {
-            tracing::info!(event = "server_vanished", server = %id);
+            if !quiet {
+                tracing::info!(event = "server_vanished", server = %id);
+            }
             known.state = State::Vanished(learned);
         }
     }
