Who read the platform's store before reads on where it was

Cause: a process that loses its keepers lists the store anew, page by page: 20 pages and 3.4 MB with 10,000 servers. 865 entries that lose them together ask for 2.9 GB, 23 s of the store's link, while keepers that come back have to list it too.

Change: a copy that is complete through a revision goes on with a watch from there, whose first call is not held, and lists only where the store has forgotten that.

Test: gateway/tests/news, 8 and 58 entries that lose their keepers twice: no listing (one for each entry and loss before), and none lags.

--- a/crates/gradedyke-gateway/tests/news/main.rs
+++ b/crates/gradedyke-gateway/tests/news/main.rs
@@ -252,3 +252,23 @@
         world.pass(ms(3_000), ms(60_000)).await;
     }
 }
+
+/// A listing is as large as the deployment, and entries that lose their keepers lose them
+/// together.
+#[tokio::test(start_paused = true)]
+async fn who_loses_its_keepers_reads_on_where_it_was() {
+    for entries in ENTRIES {
+        let world = World::start(entries);
+        world.pass(ms(5_000), ms(500)).await;
+        let listings = || world.service.listings.load(Ordering::Relaxed);
+        let before = listings();
+        for loss in [Loss::Silent, Loss::Refused] {
+            world.network.lose_keepers(Some(loss));
+            world.pass(ms(7_000), ms(250)).await;
+            world.network.lose_keepers(None);
+            world.pass(ms(4_000), ms(250)).await;
+        }
+        assert_eq!(listings(), before, "{entries} entries");
+        assert_eq!(world.lag(), Duration::ZERO, "{entries} entries");
+    }
+}
--- a/crates/gradedyke-platform/src/kv.rs
+++ b/crates/gradedyke-platform/src/kv.rs
@@ -144,7 +144,8 @@
     /// [`Error::Unknown`] when it may have gone.
     async fn revoke(&self, lease: Lease) -> Result<(), Error>;
 
-    /// Watches the keys under `prefix` for changes from revision `from` on.
+    /// Watches the keys under `prefix` for changes from revision `from` on. Where the service
+    /// answers each wait for changes, the first answer tells at once what has changed.
     ///
     /// # Errors
     ///
@@ -155,7 +156,8 @@
 /// A watch under way. Dropping it ends it.
 #[async_trait]
 pub trait Watch: Send {
-    /// Waits for the next changes, in the order of their revisions.
+    /// Waits for the next changes, in the order of their revisions. There may be none: then
+    /// the service has said only that it is there.
     ///
     /// # Errors
     ///
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -221,6 +221,12 @@
         self.lock().complete(&self.prefixes).unwrap_or_default()
     }
 
+    /// Through which revision a prefix is known; 0 if it is not.
+    fn known(&self, prefix: &str) -> Revision {
+        let state = self.lock();
+        state.through.get(prefix).map_or(0, |t| t.revision)
+    }
+
     /// Takes changes in.
     pub fn put(&self, items: Vec<Item>, now: Instant) {
         let mut state = self.lock();
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use gradedyke_base::retry::Backoff;
-use gradedyke_platform::kv::{Error, Event, KeyValue, Listing};
+use gradedyke_platform::kv::{Error, Event, KeyValue, Listing, Revision, Watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -125,19 +125,29 @@
     need: &impl Fn() -> Need,
     retry: &mut Retry,
 ) -> Result<(), Error> {
-    let (listing, asked) = list(kv, prefix, retry.pace.beside).await?;
-    let items = listing.entries.into_iter().map(Item::from);
+    let through = mirror.known(prefix);
+    let (begun, asked) = begin(kv, prefix, through, retry.pace.beside).await?;
     let now = Instant::now();
     let before = mirror.age(now);
-    mirror.replace(prefix, items.collect(), listing.revision, now);
+    let (mut watch, listed) = match begun {
+        Begun::Listed(listing) => {
+            let items = listing.entries.into_iter().map(Item::from);
+            mirror.replace(prefix, items.collect(), listing.revision, now);
+            (kv.watch(prefix, listing.revision + 1).await?, true)
+        }
+        Begun::Resumed(events, watch) => {
+            mirror.watched(prefix, events.into_iter().map(item).collect(), now);
+            (watch, false)
+        }
+    };
     mirror.confirm(prefix, asked, now);
     tracing::info!(
         event = "platform_regained",
         prefix,
-        revision = listing.revision,
+        listed,
+        revision = mirror.known(prefix),
         before_ms = before.map(|age| age.as_millis())
     );
-    let mut watch = kv.watch(prefix, listing.revision + 1).await?;
     while need() != Need::None {
         let asked = Instant::now();
         let events = watch.next().await?;
@@ -154,18 +164,44 @@
     Ok(())
 }
 
-/// Lists the prefix, and tells when that was asked. Where there is no answer for the time
-/// `beside`, one more call is made beside those that wait: one that the service took while it
-/// was silent is never answered, and the next one tells at once that it is back. The first
+/// How a reading begins.
+enum Begun {
+    /// With all that is there.
+    Listed(Listing),
+    /// With what changed since it was last known.
+    Resumed(Vec<Event>, Box<dyn Watch>),
+}
+
+/// Goes on where the prefix is known `through` a revision, 0 if it is not. Lists all of it
+/// otherwise, or where the service has forgotten its changes since.
+async fn resume(kv: &dyn KeyValue, prefix: &str, through: Revision) -> Result<Begun, Error> {
+    if through > 0 {
+        let resumed = async {
+            let mut watch = kv.watch(prefix, through + 1).await?;
+            let events = watch.next().await?;
+            Ok(Begun::Resumed(events, watch))
+        };
+        match resumed.await {
+            Err(Error::Compacted) => {}
+            resumed => return resumed,
+        }
+    }
+    kv.list(prefix).await.map(Begun::Listed)
+}
+
+/// Begins to read the prefix, and tells when that was asked. Where there is no answer for the
+/// time `beside`, one more call is made beside those that wait: one that the service took while
+/// it was silent is never answered, and the next one tells at once that it is back. The first
 /// call that ends decides.
-async fn list(
+async fn begin(
     kv: &dyn KeyValue,
     prefix: &str,
+    through: Revision,
     beside: Option<Duration>,
-) -> Result<(Listing, Instant), Error> {
+) -> Result<(Begun, Instant), Error> {
     let ask = || async {
         let asked = Instant::now();
-        Ok((kv.list(prefix).await?, asked))
+        Ok((resume(kv, prefix, through).await?, asked))
     };
     let mut calls = FuturesUnordered::from_iter([ask()]);
     loop {
--- a/crates/gradedyke-turns/src/mirror/items.rs
+++ b/crates/gradedyke-turns/src/mirror/items.rs
@@ -9,7 +9,7 @@
 
 /// Bytes of keys and values from which on a page is full. An instance that tells hundreds of
 /// others the same has one page of each under way.
-const PAGE_BYTES: usize = 64 << 10;
+const PAGE_BYTES: usize = 128 << 10;
 
 /// An item, and when it was learned.
 pub(super) struct Held {
