What an entry does for a turn no longer grows with the number of servers

Cause: for each turn an entry weighed all servers of the service, asked all it knows of what it has to tell, and set what others told anew at all.

Change: of more than 128 servers those that the entry used last (64), the one that holds the conversation, and a sample of 16 near and 16 other ones, another for each request, are weighed; it goes on through all until it has these. What is told and what is heard goes by index.

--- a/crates/gradedyke-gateway/src/fleet/known.rs
+++ b/crates/gradedyke-gateway/src/fleet/known.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gradedyke_turns::load::Busy;
+use gradedyke_turns::load::{self, Busy};
 use gradedyke_turns::record::Id;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -142,6 +142,21 @@
         }
     }
 
+    /// What this entry tells others of it.
+    pub(super) fn report(&self, now: Instant) -> Busy {
+        let told = self.health.told(now);
+        let pace = self.pace.sum(now);
+        Busy {
+            server: load::server(&self.process),
+            requests: self.in_flight,
+            failures: told.counts.failures,
+            ended: told.counts.requests,
+            unreached: told.unreached,
+            paced: pace.answers,
+            pace: pace.hundredths,
+        }
+    }
+
     /// Requests in progress there, as far as is known.
     pub(super) fn taken(&self) -> u32 {
         self.in_flight + self.others.requests
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -6,19 +6,20 @@
 //! whose item vanished in calm times has gone.
 //!
 //! `registry` holds the servers there are, `known` what is believed of one, `location`
-//! where they stand, and [`slow_start`] which of those that warm up may run a request.
+//! where they stand. `sample` says which of very many are weighed for a request, and
+//! [`slow_start`] which of those that warm up may run it.
 
 mod known;
 mod location;
 mod registry;
+mod sample;
 pub mod slow_start;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use gradedyke_turns::load::{self, Busy, Report};
+use gradedyke_turns::load::{Busy, Report};
 use gradedyke_turns::mirror::Item;
 use gradedyke_turns::record::Id;
 use slotmap::new_key_type;
@@ -291,7 +292,7 @@
         if self.enabled.has(Mechanism::Prefixes) {
             known.cache.keep(question.parts, 0, room as u64);
         }
-        Some(Choice {
+        let choice = Choice {
             fleet: self.clone(),
             key,
             id: known.server.id.clone(),
@@ -300,7 +301,9 @@
             pool: known.pool.clone(),
             since: question.now,
             view,
-        })
+        };
+        servers.used(key);
+        Some(choice)
     }
 
     /// In how long one of a service's servers is expected to have a place.
@@ -318,40 +321,17 @@
 
     /// What this entry has in progress, and where requests failed lately.
     pub fn report(&self, now: Instant) -> Report {
-        let servers = self.lock();
-        let busy = servers.servers.values().map(|known| {
-            let told = known.health.told(now);
-            let pace = known.pace.sum(now);
-            Busy {
-                server: load::server(&known.process),
-                requests: known.in_flight,
-                failures: told.counts.failures,
-                ended: told.counts.requests,
-                unreached: told.unreached,
-                paced: pace.answers,
-                pace: pace.hundredths,
-            }
-        });
-        let told = |b: &Busy| b.requests + b.failures + b.unreached + b.paced > 0;
-        let busy = busy.filter(told);
         Report {
             entry: self.boot,
             address: self.own,
-            busy: busy.collect(),
+            busy: self.lock().report(now),
         }
     }
 
     /// Takes in what other entries have in progress.
     pub fn learn(&self, load: &[Busy], now: Instant) {
-        if !self.enabled.has(Mechanism::SharedLoad) {
-            return;
-        }
-        let mut servers = self.lock();
-        servers.told = Some(now);
-        let told: HashMap<load::Server, Busy> = load.iter().map(|b| (b.server, *b)).collect();
-        for known in servers.servers.values_mut() {
-            let server = load::server(&known.process);
-            known.others = told.get(&server).copied().unwrap_or_default();
+        if self.enabled.has(Mechanism::SharedLoad) {
+            self.lock().learn(load, now);
         }
     }
 
@@ -387,6 +367,7 @@
         };
         known.health.answered(now);
         let service = known.server.service.clone();
+        servers.touch(key);
         if let Some(time) = time {
             let learned = servers.learned.entry(service).or_default();
             let ratio = learned.call(time.as_secs_f64() * 1e3);
@@ -420,6 +401,7 @@
         let learned = learned.unwrap_or_default();
         let ratio = learned.ratio(beside, known.server.slots, gap_ms);
         servers.servers[key].pace.add(Pace::of(ratio), now);
+        servers.touch(key);
     }
 
     /// Takes in that a request failed by a server's fault.
@@ -435,6 +417,7 @@
         tracing::info!(event = "server_failed", server = %known.server.id,
             fault = fault.name(), rest_ms = rest.map(|r| r.as_millis()),
             risk = known.risk(now));
+        servers.touch(key);
     }
 
     /// Takes in that another server has its address: it has gone.
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -3,13 +3,14 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use gradedyke_turns::load::Busy;
+use gradedyke_turns::load::{self, Busy};
 use gradedyke_turns::mirror::Item;
 use gradedyke_turns::record::Id;
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
 use super::known::{Known, State};
+use super::sample::{self, Recent};
 use super::slow_start;
 use super::{Key, Location, Question, Server, draw};
 use crate::dialect::{Dialect, Invalid};
@@ -35,6 +36,15 @@
     pub(super) servers: SlotMap<Key, Known>,
     pub(super) by_id: HashMap<Id, Key>,
     pub(super) by_service: HashMap<String, Vec<Key>>,
+    by_process: HashMap<Id, Key>,
+    /// By the short name under which entries tell each other of one.
+    by_short: HashMap<load::Server, Key>,
+    /// The servers of each service that were used last.
+    recent: HashMap<String, Recent>,
+    /// Servers of which this entry may have something to tell others.
+    active: HashSet<Key>,
+    /// Servers of which others told something.
+    told_of: Vec<Key>,
     /// What was learned of each service.
     pub(super) learned: HashMap<String, estimate::Service>,
     /// Entries that cannot be read and whose server was never known.
@@ -60,9 +70,88 @@
     /// Drops what other entries told: it is too old.
     pub(super) fn forget_others(&mut self) {
         self.told = None;
-        for known in self.servers.values_mut() {
-            known.others = Busy::default();
+        for key in std::mem::take(&mut self.told_of) {
+            if let Some(known) = self.servers.get_mut(key) {
+                known.others = Busy::default();
+            }
+        }
+    }
+
+    /// Takes in what other entries have in progress, in place of what they told before.
+    pub(super) fn learn(&mut self, load: &[Busy], now: Instant) {
+        self.forget_others();
+        self.told = Some(now);
+        for busy in load {
+            let key = self.by_short.get(&busy.server).copied();
+            let Some(known) = key.and_then(|key| self.servers.get_mut(key)) else {
+                continue;
+            };
+            known.others = *busy;
+            self.told_of.extend(key);
+        }
+    }
+
+    /// What this entry has to tell of its servers.
+    pub(super) fn report(&mut self, now: Instant) -> Vec<Busy> {
+        let mut report = Vec::new();
+        let servers = &self.servers;
+        self.active.retain(|key| {
+            let Some(known) = servers.get(*key) else {
+                return false;
+            };
+            let busy = known.report(now);
+            let told = busy.requests + busy.failures + busy.unreached + busy.paced > 0;
+            if told {
+                report.push(busy);
+            }
+            told || busy.ended > 0
+        });
+        report
+    }
+
+    /// Takes in that a server is used, or that something was learned of it.
+    pub(super) fn touch(&mut self, key: Key) {
+        self.active.insert(key);
+    }
+
+    /// Takes in that a request is sent to a server.
+    pub(super) fn used(&mut self, key: Key) {
+        self.touch(key);
+        let Some(known) = self.servers.get(key) else {
+            return;
+        };
+        if let Some(recent) = self.recent.get_mut(&known.server.service) {
+            recent.add(key);
+            return;
+        }
+        let recent = self.recent.entry(known.server.service.clone());
+        recent.or_default().add(key);
+    }
+
+    fn insert(&mut self, known: Known) {
+        let (id, process) = (known.server.id.clone(), known.process.clone());
+        let service = known.server.service.clone();
+        let key = self.servers.insert(known);
+        self.by_id.insert(id, key);
+        self.by_short.insert(load::server(&process), key);
+        self.by_process.insert(process, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    /// Takes a server out, but for its name.
+    fn take(&mut self, key: Key) -> Option<Known> {
+        let known = self.servers.remove(key)?;
+        known.pool.clear();
+        self.by_process.remove(&known.process);
+        self.by_short.remove(&load::server(&known.process));
+        let service = &known.server.service;
+        if let Some(keys) = self.by_service.get_mut(service) {
+            keys.retain(|k| *k != key);
         }
+        if let Some(recent) = self.recent.get_mut(service) {
+            recent.remove(key);
+        }
+        Some(known)
     }
 
     /// Takes in an item of the directory that changed, which was learned then.
@@ -119,31 +208,20 @@
             tracing::info!(event = "server_listed", server = %server.id, service = server.service,
                 address = %server.address, leaving = server.leaving);
         }
-        let id = server.id.clone();
-        let service = server.service.clone();
-        let key = self.servers.insert(Known::new(server, learned));
-        self.by_id.insert(id, key);
-        self.by_service.entry(service).or_default().push(key);
+        self.insert(Known::new(server, learned));
     }
 
     /// Puts a new process in the place of one that has ended. Nothing of what was learned
     /// of that one holds for it.
     fn restart(&mut self, former: Key, server: Server, learned: Instant) {
-        let Some(known) = self.servers.remove(former) else {
+        let Some(known) = self.take(former) else {
             return;
         };
         tracing::info!(event = "server_restarted", server = %server.id,
             address = %server.address, started_ms = server.started_ms,
             former_ms = known.server.started_ms);
-        known.pool.clear();
         known.ended.cancel();
-        if let Some(keys) = self.by_service.get_mut(&known.server.service) {
-            keys.retain(|k| *k != former);
-        }
-        let (id, service) = (server.id.clone(), server.service.clone());
-        let key = self.servers.insert(known.successor(server, learned));
-        self.by_id.insert(id, key);
-        self.by_service.entry(service).or_default().push(key);
+        self.insert(known.successor(server, learned));
     }
 
     /// Takes in that an entry cannot be read. Its server gets nothing new, and what is in
@@ -178,12 +256,8 @@
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
-        if let Some(known) = self.servers.remove(key) {
+        if self.take(key).is_some() {
             tracing::info!(event = "server_gone", server = %id);
-            known.pool.clear();
-            if let Some(keys) = self.by_service.get_mut(&known.server.service) {
-                keys.retain(|k| *k != key);
-            }
         }
     }
 
@@ -199,20 +273,37 @@
         open.into_iter().filter(|k| Some(rank(k)) == best).collect()
     }
 
-    /// The servers that may be sent the request, however busy they are.
+    /// The servers that may be sent the request, however busy they are: all, or of very
+    /// many those that are worth weighing.
     fn open(&self, question: &Question<'_>, from: &Location) -> Vec<Key> {
-        let keys = self.by_service.get(question.service).into_iter().flatten();
-        let open = |key: &&Key| {
-            let known = &self.servers[**key];
+        let Some(keys) = self.by_service.get(question.service) else {
+            return Vec::new();
+        };
+        let open = |key: &Key| {
+            let known = &self.servers[*key];
             let data_centre = &known.server.data_centre;
             !known.server.leaving
                 && !known.unread
                 && !known.replaced
                 && !question.tried.contains(key)
+                && known.server.service == question.service
                 && !self.evacuated.contains(data_centre)
                 && from.allows(question.regions, data_centre)
         };
-        keys.filter(open).copied().collect()
+        if keys.len() <= sample::ALL {
+            return keys.iter().filter(|k| open(k)).copied().collect();
+        }
+        let near = |key: Key| self.servers[key].server.data_centre == from.data_centre;
+        let mut weighed = sample::draw(keys, question.request, |k| open(&k), near);
+        let recent = self.recent.get(question.service).into_iter();
+        let recent = recent.flat_map(Recent::keys);
+        let holder = question.holder.and_then(|h| self.by_process.get(h));
+        for key in recent.chain(holder.copied()) {
+            if open(&key) && !weighed.contains(&key) {
+                weighed.push(key);
+            }
+        }
+        weighed
     }
 
     /// Leaves out those of `open` that warm up and have their share of the requests.
