Entries leave it to keepers to list what the platform's store forgot

Change: a process that hears from a keeper lists nothing; it asks for what changed since its revision, one call, and leaves the rest to the watchers. And the times after which entries read the store themselves are shares of the time in which a change must be in force, which operators set (in_force_ms, drain_ms; 2 s where they set none): with 2 s as before.

Test: gateway/tests/news, a service that forgets while keepers hear nothing, 8 and 58 entries: no more than 3 listings (red without: each entry lists). Without a keeper they list and are in time.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -54,14 +54,6 @@
 /// a caller has.
 const START: Duration = Duration::from_millis(1_000);
 
-/// Age of what an entry knows above which it gives no final answer by it: that a key, a
-/// route or so large a body is not allowed. News are up to 2.0 s old by the way they take (two
-/// waits of 0.7 s at the platform's service, two of 0.3 s at keepers, seldom three), and a
-/// change is to be in force 2 s or more after it was confirmed. It guards against "no such
-/// route" for one that exists, which ends a program: seen once, 2.07 s after the route was
-/// added, at an entry without news.
-const RECENT: Duration = Duration::from_secs(2);
-
 /// Share of the time in which a withdrawn key must be without effect for which it may be
 /// used unconfirmed. The rest is for clocks that run at other speeds.
 const UNCONFIRMED: f64 = 0.9;
@@ -96,6 +88,9 @@
     pub drain: CancellationToken,
     /// The revision of the configuration that was read last.
     pub configured: Mutex<u64>,
+    /// Time in which a change must be in force. What is known here for longer without being
+    /// confirmed gives no final answer: that a key, a route or so large a body is not allowed.
+    pub in_force: Duration,
     /// For how long a key may be used without the platform's service confirming that
     /// it still holds; `None` where keys need not be confirmed.
     pub confirmation: Option<Duration>,
@@ -285,7 +280,7 @@
             Some(account) if self.confirmed(age) => Ok(Some(account.clone())),
             Some(_) => Err(Refusal::Unconfirmed),
             None if route.public => Ok(None),
-            None => Err(denial(Refusal::Unauthorized, age)),
+            None => Err(self.denial(Refusal::Unauthorized, age)),
         }
     }
 
@@ -304,7 +299,9 @@
         let host = head.headers.get(header::HOST);
         let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
         let route = config.route(host, head.uri.path());
-        let route: Arc<Route> = route.ok_or_else(|| denial(Refusal::NoRoute, age))?.clone();
+        let route: Arc<Route> = route
+            .ok_or_else(|| self.denial(Refusal::NoRoute, age))?
+            .clone();
         let account = self.holder(&config, &route, &meta, age)?;
         let id = meta.request.clone().ok_or(Refusal::Malformed)?;
         let allowed = meta.deadline.unwrap_or(DEADLINE).min(route.timeout);
@@ -314,7 +311,7 @@
         let body = body.map_err(|problem| {
             tracing::info!(event = "body_not_read", request = %id, problem = %problem.message);
             match problem.kind {
-                gradedyke_base::problem::Kind::TooLarge => denial(Refusal::TooLarge, age),
+                gradedyke_base::problem::Kind::TooLarge => self.denial(Refusal::TooLarge, age),
                 _ => Refusal::Malformed,
             }
         })?;
@@ -339,13 +336,13 @@
             until,
         })
     }
-}
 
-/// The answer to what the configuration does not allow, when what is known here has this
-/// `age`. It is final only where that is young: it may have been allowed since.
-fn denial(refusal: Refusal, age: Option<Duration>) -> Refusal {
-    if age.is_some_and(|age| age <= RECENT) {
-        return refusal;
+    /// The answer to what the configuration does not allow, when what is known here has this
+    /// `age`. It is final only where that is young: it may have been allowed since.
+    fn denial(&self, refusal: Refusal, age: Option<Duration>) -> Refusal {
+        if age.is_some_and(|age| age <= self.in_force) {
+            return refusal;
+        }
+        Refusal::Unconfirmed
     }
-    Refusal::Unconfirmed
 }
--- a/crates/gradedyke-gateway/src/news.rs
+++ b/crates/gradedyke-gateway/src/news.rs
@@ -69,6 +69,8 @@
     pub mirror: Arc<Mirror>,
     /// The other processes.
     pub peers: Arc<dyn feed::Peers>,
+    /// The time in which a change must be in force.
+    pub in_force: Duration,
 }
 
 impl Entry {
@@ -82,7 +84,7 @@
         now: Instant,
         stop: &CancellationToken,
     ) {
-        let reader = Arc::new(feed::Reader::new(now, feed::ENTRY_START));
+        let reader = Arc::new(feed::Reader::new(now, feed::ENTRY_START, self.in_force));
         tasks.spawn(feed::run(
             self.mirror.clone(),
             self.peers,
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -136,6 +136,7 @@
         let quorum = Quorum::new(mirror.clone(), &settings.data_centre, own);
         let decisions = settings.decisions.clone();
         let enabled = Enabled::without(&decisions.off);
+        let in_force = settings.in_force();
         let policy = placement::policies(enabled).remove(decisions.placement.as_str());
         let policy = policy
             .ok_or_else(|| eyre!("no policy {}; see decisions.placement", decisions.placement))?;
@@ -153,6 +154,7 @@
             enabled,
             drain: CancellationToken::new(),
             configured: Mutex::default(),
+            in_force,
             confirmation: settings.revocation().map(entry::confirmation),
             applied: Mutex::new(0),
             active: AtomicUsize::new(0),
@@ -164,6 +166,7 @@
         let news = news::Entry {
             mirror,
             peers: quorum,
+            in_force,
         };
         news.start(tasks, &world.kv, sources, Instant::now(), &stop);
         tasks.spawn(refresh(entry.clone(), stop.clone()));
@@ -225,6 +228,7 @@
             turn: turn(&settings),
         };
         let seeds = settings.seeds.clone();
+        let in_force = settings.in_force();
         let mut process = Self::new(settings, None, stop.clone());
         process.addresses.peer = Some(peer);
         let (ready, replica) = watch::channel(None);
@@ -235,13 +239,14 @@
         tasks.spawn(snapshot::keep(mirror.clone(), folder.clone(), stop.clone()));
         // What the platform holds is told to entries while the disk is read.
         let disk = replica::identity(&folder)?;
+        let reader = feed::Reader::new(Instant::now(), feed::KEEPER_START, in_force);
         let keeper = news::Keeper {
             own: peer,
             disk,
             seeds,
             mirror: mirror.clone(),
             quorum: Quorum::new(mirror.clone(), &config.data_centre, None),
-            reader: Arc::new(feed::Reader::new(Instant::now(), feed::KEEPER_START)),
+            reader: Arc::new(reader),
             standby: feed::Standby::default(),
         };
         keeper.start(tasks, &world.kv, &stop);
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -70,6 +70,10 @@
     /// in milliseconds.
     #[serde(default = "drain_ms")]
     pub drain_ms: u64,
+    /// Time from the moment a change of the configuration is confirmed until it must be in
+    /// force everywhere, in milliseconds.
+    #[serde(default = "in_force_ms")]
+    pub in_force_ms: u64,
     /// Time after which a key that was withdrawn has no effect at any entry, also one that
     /// is cut off, in milliseconds. Without it a key holds until the entry hears of it.
     #[serde(default)]
@@ -121,6 +125,14 @@
     2_000
 }
 
+fn in_force_ms() -> u64 {
+    2_000
+}
+
+/// Shortest time for a change to be in force, in milliseconds: a tenth of it is for a look and
+/// a call to the platform's service.
+const SHORTEST_IN_FORCE_MS: u64 = 2_000;
+
 /// Shortest time to stop in: the balancer notices within two seconds.
 const SHORTEST_GRACE_S: f64 = 1.0;
 
@@ -159,6 +171,16 @@
         if settings.grace_s < SHORTEST_GRACE_S {
             return Err(source.error("grace_s", "too short to stop in; give 1 or more"));
         }
+        let changes = [
+            ("in_force_ms", settings.in_force_ms),
+            ("drain_ms", settings.drain_ms),
+        ];
+        for (field, ms) in changes {
+            if ms < SHORTEST_IN_FORCE_MS {
+                let remedy = "shorter than news take to an entry; give 2000 or more";
+                return Err(source.error(field, remedy));
+            }
+        }
         if settings
             .revocation_ms
             .is_some_and(|ms| ms < SHORTEST_REVOCATION_MS)
@@ -196,6 +218,16 @@
         Duration::from_secs_f64(self.allowance_window_s)
     }
 
+    /// Time in which a change of what the platform's service holds must be in force: the
+    /// shortest that any kind of change has. A withdrawn key must be confirmed as well, which
+    /// takes as long again.
+    pub fn in_force(&self) -> Duration {
+        let shortest = self.in_force_ms.min(self.drain_ms);
+        let revocation = self.revocation_ms.map_or(shortest, |ms| ms / 2);
+        let ms = shortest.min(revocation).max(SHORTEST_IN_FORCE_MS);
+        Duration::from_millis(ms)
+    }
+
     /// Time after which a withdrawn key has no effect at any entry.
     pub fn revocation(&self) -> Option<Duration> {
         self.revocation_ms.map(Duration::from_millis)
--- a/crates/gradedyke-gateway/tests/news/main.rs
+++ b/crates/gradedyke-gateway/tests/news/main.rs
@@ -105,6 +105,7 @@
         let news = news::Entry {
             mirror,
             peers: Arc::new(seat),
+            in_force: IN_FORCE,
         };
         let sources = move || network.keepers();
         news.start(&mut self.tasks, &kv, sources, Instant::now(), &stop);
@@ -253,6 +254,30 @@
     }
 }
 
+/// Where the service forgets its changes, all who read it would have to list it. Keepers do
+/// that for all others; where there is none, each does.
+#[tokio::test(start_paused = true)]
+async fn keepers_list_for_entries_what_the_service_forgot() {
+    for entries in ENTRIES {
+        let world = World::start(entries);
+        world.pass(ms(5_000), ms(500)).await;
+        let listings = || world.service.listings.load(Ordering::Relaxed);
+        let before = listings();
+        // The keeper hears nothing for so long that entries read the service themselves.
+        world.keeper_cut.store(true, Ordering::Relaxed);
+        world.service.forget();
+        world.pass(ms(4_000), ms(250)).await;
+        world.keeper_cut.store(false, Ordering::Relaxed);
+        world.pass(CALM, ms(250)).await;
+        assert!(listings() - before <= 3, "{entries} entries");
+        assert_eq!(world.lag(), Duration::ZERO, "{entries} entries");
+        world.network.lose_keepers(Some(Loss::Refused));
+        world.service.forget();
+        world.pass(CALM, ms(250)).await;
+        assert!(world.lag() <= IN_FORCE, "{entries} entries, no keeper");
+    }
+}
+
 /// A listing is as large as the deployment, and entries that lose their keepers lose them
 /// together.
 #[tokio::test(start_paused = true)]
--- a/crates/gradedyke-gateway/tests/news/service.rs
+++ b/crates/gradedyke-gateway/tests/news/service.rs
@@ -34,6 +34,8 @@
 pub struct Service {
     changes: watch::Sender<Vec<Instant>>,
     outage: Mutex<Option<Outage>>,
+    /// How many changes it has forgotten.
+    forgotten: AtomicUsize,
     /// Calls to it so far.
     pub calls: AtomicUsize,
     /// Calls that listed all it holds.
@@ -46,6 +48,7 @@
         Arc::new(Self {
             changes: watch::Sender::new(vec![now]),
             outage: Mutex::default(),
+            forgotten: AtomicUsize::new(0),
             calls: AtomicUsize::new(0),
             listings: AtomicUsize::new(0),
         })
@@ -56,6 +59,11 @@
         self.changes.send_modify(|changes| changes.push(now));
     }
 
+    /// Has it forget all changes so far.
+    pub fn forget(&self) {
+        self.forgotten.store(self.revision(), Ordering::Relaxed);
+    }
+
     /// Has it fail all calls, or none.
     pub fn set_outage(&self, outage: Option<Outage>) {
         *self.outage.lock().unwrap() = outage;
@@ -184,6 +192,9 @@
         };
         let _ = tokio::time::timeout(held, more).await;
         self.client.call().await?;
+        if self.known < service.forgotten.load(Ordering::Relaxed) {
+            return Err(Error::Compacted);
+        }
         let revision = service.revision();
         if revision == self.known {
             return Ok(Vec::new());
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -28,11 +28,6 @@
 const CALL: Duration = Duration::from_millis(700);
 /// Wait before a source that did not answer is asked again, or the next is tried.
 const RETRY: Duration = Duration::from_millis(50);
-/// Age of a copy above which another source, or the service itself, is asked.
-/// Watches of the service answer at least every 0.7 s, news come two hops of
-/// 0.3 s at most, and a change of configuration may take 2 s.
-const STALE: Duration = Duration::from_millis(1_300);
-
 /// How long a source is followed whose copy is old, before all are asked again
 /// for a fresh one.
 const OLD: Duration = Duration::from_millis(800);
@@ -138,7 +133,7 @@
     loop {
         let known = sources();
         let neighbours = neighbours(&mirror, &*peers);
-        if let Some(source) = first(&*peers, &known, &neighbours).await {
+        if let Some(source) = first(&*peers, &reader, &known, &neighbours).await {
             let position = positions.entry(source).or_default();
             let mut joined = Joined {
                 source,
@@ -237,6 +232,7 @@
 /// from the same keepers.
 async fn first(
     peers: &dyn Peers,
+    reader: &Reader,
     sources: &[SocketAddr],
     neighbours: &[SocketAddr],
 ) -> Option<SocketAddr> {
@@ -251,7 +247,7 @@
     let mut until = Instant::now() + CALL;
     let mut old = None;
     while let Ok(Some((source, age))) = tokio::time::timeout_at(until, asked.next()).await {
-        if age.is_some_and(|a| a <= STALE) {
+        if reader.fresh(age) {
             return Some(source);
         }
         if neighbours.contains(&source) {
@@ -311,7 +307,7 @@
             return Left::NotUnderstood;
         };
         let age = news.age_ms.map(Duration::from_millis);
-        let fresh = age.is_some_and(|a| a <= STALE);
+        let fresh = reader.fresh(age);
         let now = Instant::now();
         // Another entry may have its news from here.
         if !joined.neighbour {
--- a/crates/gradedyke-turns/src/feed/reader.rs
+++ b/crates/gradedyke-turns/src/feed/reader.rs
@@ -6,8 +6,9 @@
 //! come from the reader itself.
 //!
 //! A process therefore knows each change after at most the greater of two times and one
-//! look: [`ALONE`] where keepers are gone, and [`TOO_OLD`] where they have nothing new. The
-//! least time in which a change must be in force is 2 s.
+//! look: [`ALONE`] where keepers are gone, and [`TOO_OLD`] where they have nothing new. Both
+//! are shares of the time in which a change must be in force: the service is read no earlier
+//! than that asks for, because many read it together then.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -16,14 +17,14 @@
 
 use crate::mirror::Need;
 
-/// Time without fresh news from a keeper after which the service itself is read: a wait
-/// for news, and a change of the source.
-const ALONE: Duration = Duration::from_millis(700);
-/// Age of a copy above which the service itself is read, whoever brings news. On the usual
-/// way it is 1.6 s at most: watches of the service answer every 0.7 s, and news come three
-/// hops of 0.3 s where a keeper hears from the watcher that stands by. With 1.6 s in place
-/// of 1.8 s a quarter of 57 entries read the service every few seconds on a calm day.
-const TOO_OLD: Duration = Duration::from_millis(1_800);
+/// Time without fresh news from a keeper after which the service itself is read, as a share
+/// of the time in which a change must be in force.
+const ALONE: f64 = 0.35;
+/// Age of a copy above which another source is asked, as the same share.
+const STALE: f64 = 0.65;
+/// Age of a copy above which the service itself is read, whoever brings news, as the same
+/// share. The rest is for a look and a call.
+const TOO_OLD: f64 = 0.9;
 
 /// Time that the feed of an entry has at the start of its process, when all others
 /// may be starting too: what a keeper takes to start and to read the service.
@@ -32,21 +33,19 @@
 /// 0.3 s of it.
 pub const KEEPER_START: Duration = Duration::from_millis(400);
 
-/// Age of the copy above which a watcher that stands by reads the service itself. The
-/// first hears from it every 0.72 s, and is heard itself every 0.3 s; entries look for
-/// another source at 1.3 s.
+/// Age of the copy above which a watcher that stands by reads the service itself.
 const LATE: Duration = Duration::from_millis(1_100);
 /// How long it goes on then, so that a first watcher that comes and goes does not have
 /// it begin again and again.
 const HOLD: Duration = Duration::from_secs(3);
 
-/// The decision of a process that hears from keepers. Where entries that heard from each
-/// other did not read, all of them were up to 2.8 s behind when no keeper was there, and are
-/// 0.5 s behind with this (eight and 58 entries in virtual time, a change every 0.25 s). It
-/// costs each entry 4 calls a second under such changes and 1.6 otherwise, while keepers are
-/// gone.
+/// The decision of a process that hears from keepers.
 #[derive(Debug)]
-pub struct Reader(Mutex<State>);
+pub struct Reader {
+    /// The time in which a change must be in force.
+    in_force: Duration,
+    state: Mutex<State>,
+}
 
 #[derive(Debug)]
 struct State {
@@ -58,17 +57,26 @@
 
 impl Reader {
     /// The decision of a process that starts at `now`, and to which a keeper may take
-    /// `start` to bring the first news.
-    pub fn new(now: Instant, start: Duration) -> Self {
-        Self(Mutex::new(State {
+    /// `start` to bring the first news. A change must be in force after `in_force`.
+    pub fn new(now: Instant, start: Duration, in_force: Duration) -> Self {
+        let state = State {
             supplied: now + start,
             heard: now + start,
-        }))
+        };
+        Self {
+            in_force,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Whether a copy of this age is young enough to follow.
+    pub fn fresh(&self, age: Option<Duration>) -> bool {
+        age.is_some_and(|age| age <= self.in_force.mul_f64(STALE))
     }
 
     /// Notes that a keeper told what it knows, and whether that was fresh.
     pub fn heard(&self, fresh: bool, now: Instant) {
-        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.heard = now;
         if fresh {
             state.supplied = now;
@@ -88,7 +96,7 @@
     /// let now = Instant::now();
     /// let after = |ms| now + Duration::from_millis(ms);
     /// let (young, old) = (Some(Duration::from_millis(100)), Some(Duration::from_secs(2)));
-    /// let reader = Reader::new(now, ENTRY_START);
+    /// let reader = Reader::new(now, ENTRY_START, Duration::from_secs(2));
     /// assert_eq!(reader.need(None, now), Need::None);
     /// // No keeper brings news, whoever else does.
     /// assert_eq!(reader.need(young, after(2_800)), Need::Low);
@@ -100,9 +108,11 @@
     /// assert_eq!(reader.need(young, after(3_300)), Need::None);
     /// ```
     pub fn need(&self, age: Option<Duration>, now: Instant) -> Need {
-        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let long = |since| now.saturating_duration_since(since) > ALONE;
-        let old = age.map_or(long(state.heard), |age| age > TOO_OLD);
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let alone = self.in_force.mul_f64(ALONE);
+        let too_old = self.in_force.mul_f64(TOO_OLD);
+        let long = |since| now.saturating_duration_since(since) > alone;
+        let old = age.map_or(long(state.heard), |age| age > too_old);
         match (old, long(state.supplied), long(state.heard)) {
             (true, _, true) => Need::High,
             (true, ..) | (_, true, _) => Need::Low,
@@ -111,9 +121,7 @@
     }
 }
 
-/// Whether a watcher that stands by reads the platform's service itself. With two that
-/// always do, and a start at which all keepers do, a calm day of 48 s of a deployment with 26
-/// instances took 290 calls; with both changed 125 and 123 (two runs).
+/// Whether a watcher that stands by reads the platform's service itself.
 #[derive(Debug, Default)]
 pub struct Standby(Mutex<Option<Instant>>);
 
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -127,6 +127,16 @@
 ) -> Result<(), Error> {
     let through = mirror.known(prefix);
     let (begun, asked) = begin(kv, prefix, through, retry.pace.beside).await?;
+    if matches!(begun, Begun::Forgotten) && need() != Need::High {
+        // Those that read for others list it, and all together would take its whole time.
+        tracing::info!(event = "platform_forgot", prefix, through);
+        retry.failed(Instant::now());
+        return Ok(());
+    }
+    let (begun, asked) = match begun {
+        Begun::Forgotten => begin(kv, prefix, 0, retry.pace.beside).await?,
+        begun => (begun, asked),
+    };
     let now = Instant::now();
     let before = mirror.age(now);
     let (mut watch, listed) = match begun {
@@ -139,6 +149,7 @@
             mirror.watched(prefix, events.into_iter().map(item).collect(), now);
             (watch, false)
         }
+        Begun::Forgotten => return Err(Error::Compacted),
     };
     mirror.confirm(prefix, asked, now);
     tracing::info!(
@@ -170,10 +181,11 @@
     Listed(Listing),
     /// With what changed since it was last known.
     Resumed(Vec<Event>, Box<dyn Watch>),
+    /// Not at all: the service has forgotten what changed since.
+    Forgotten,
 }
 
-/// Goes on where the prefix is known `through` a revision, 0 if it is not. Lists all of it
-/// otherwise, or where the service has forgotten its changes since.
+/// Goes on where the prefix is known `through` a revision; lists all of it where that is 0.
 async fn resume(kv: &dyn KeyValue, prefix: &str, through: Revision) -> Result<Begun, Error> {
     if through > 0 {
         let resumed = async {
@@ -182,7 +194,7 @@
             Ok(Begun::Resumed(events, watch))
         };
         match resumed.await {
-            Err(Error::Compacted) => {}
+            Err(Error::Compacted) => return Ok(Begun::Forgotten),
             resumed => return resumed,
         }
     }
--- a/crates/gradedyke-turns/tests/feed.rs
+++ b/crates/gradedyke-turns/tests/feed.rs
@@ -15,6 +15,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+/// Time in which a change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
 /// A mirror that holds one item.
 fn holding() -> Arc<Mirror> {
     let mirror = Mirror::new(&[""]);
@@ -50,7 +53,7 @@
     let stop = CancellationToken::new();
     let mirror = Mirror::new(&[""]);
     let quorum = Quorum::new(mirror.clone(), "here", None);
-    let reader = Arc::new(Reader::new(Instant::now(), ENTRY_START));
+    let reader = Arc::new(Reader::new(Instant::now(), ENTRY_START, IN_FORCE));
     let (fed, stopped) = (mirror.clone(), stop.clone());
     tokio::spawn(feed::run(
         fed,
@@ -113,7 +116,7 @@
     mirror.learn(known, Vec::new(), now, now);
     let own = "127.0.0.1:1".parse().unwrap();
     let quorum = Quorum::new(mirror.clone(), "here", Some(own));
-    let reader = Arc::new(Reader::new(now, ENTRY_START));
+    let reader = Arc::new(Reader::new(now, ENTRY_START, IN_FORCE));
     let sources = move || vec![keeper];
     let feed = feed::run(mirror.clone(), quorum, reader, sources, stop.clone());
     tokio::spawn(feed);
