--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -134,6 +134,8 @@
         let known = sources();
         let neighbours = neighbours(&mirror, &*peers);
         if let Some(source) = first(&*peers, &reader, &known, &neighbours).await {
+            let others = positions.iter_mut().filter(|(other, _)| **other != source);
+            others.for_each(|(_, position)| position.give_up());
             let position = positions.entry(source).or_default();
             let mut joined = Joined {
                 source,
@@ -330,6 +332,13 @@
 }
 
 impl Position {
+    /// Forgets a listing that was begun, which takes the memory of all that is listed.
+    fn give_up(&mut self) {
+        if self.cursor.listing {
+            *self = Self::default();
+        }
+    }
+
     /// Takes in how far `news` go, which bring `items`. Returns what may be taken in:
     /// changes, or a whole listing at its last page.
     fn gather(&mut self, news: &News, mut items: Vec<Item>) -> Option<Vec<Item>> {
