--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -193,11 +193,9 @@
                 known.pool.clear();
                 known.pool = Arc::new(Pool::new(server.address));
             }
-            if known.server.leaving != server.leaving {
-                if !self.quiet {
-                    tracing::info!(event = "server_changed", server = %server.id,
-                        leaving = server.leaving);
-                }
+            if known.server.leaving != server.leaving && !self.quiet {
+                tracing::info!(event = "server_changed", server = %server.id,
+                    leaving = server.leaving);
             }
             known.state = State::Listed;
             known.warm_at = Known::warm_at(&server, learned);
