--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -11,7 +11,7 @@
 
 mod follow;
 mod items;
-mod packed;
+pub mod packed;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
