--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -6,14 +6,14 @@
 //! way or how often it arrives: the later revision stands, and nothing that was
 //! in force ever comes back. An outage leaves the copy as it was.
 //!
-//! `follow` reads and watches the service; see [`crate::feed`] for the others. `items` holds
-//! what is known, and `packed` is how it travels.
+//! `follow` reads and watches the service; see [`crate::feed`] for the others. `state` holds
+//! what is known, with `items`, and `packed` is how it travels.
 
 mod follow;
 mod items;
 pub mod packed;
+mod state;
 
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -25,11 +25,8 @@
 use tokio::time::Instant;
 
 pub use follow::{Need, Pace, follow};
-use items::{Items, Page};
 pub use packed::Packed;
-
-/// Pages that are held for others who ask for the same.
-const PAGES: usize = 256;
+use state::State;
 
 /// A key with its value; no value when it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,34 +93,6 @@
     pub neighbours: Vec<SocketAddr>,
 }
 
-/// How far a prefix is known.
-#[derive(Clone, Copy, Debug, Default)]
-struct Through {
-    /// Through which revision.
-    revision: Revision,
-    /// The revision of the first listing: what was deleted after it is known as deleted.
-    since: Revision,
-    /// When the service last confirmed that.
-    confirmed: Option<Instant>,
-    /// When the question was sent that it confirmed it to: what the service had taken
-    /// by then is known.
-    asked: Option<Instant>,
-}
-
-#[derive(Default)]
-struct State {
-    items: Items,
-    /// Pages that were told, with the change up to which they hold.
-    pages: (u64, HashMap<(u64, Revision), Page>),
-    /// Of each prefix that was listed.
-    through: HashMap<String, Through>,
-    /// The change at which a prefix was last listed for the first time: who was told
-    /// something before has only what came from a disk, and is told all once more.
-    listed: u64,
-    steady: Option<Instant>,
-    neighbours: Vec<SocketAddr>,
-}
-
 /// The copy.
 pub struct Mirror {
     boot: u64,
@@ -372,103 +341,3 @@
     }
     at.checked_sub(distance)
 }
-
-impl State {
-    /// Through which revision all prefixes are known.
-    fn complete(&self, prefixes: &[String]) -> Option<Revision> {
-        let through = prefixes.iter().map(|p| self.through.get(p));
-        through.map(|t| t.map(|t| t.revision)).min().flatten()
-    }
-
-    /// Whether all that was deleted after a revision is known as deleted.
-    fn covers(&self, prefixes: &[String], revision: Revision) -> bool {
-        let covers = |t: &Through| revision > 0 && revision >= t.since;
-        prefixes
-            .iter()
-            .all(|p| self.through.get(p).is_some_and(covers))
-    }
-
-    /// When all prefixes were last confirmed.
-    fn confirmed(&self, prefixes: &[String]) -> Option<Instant> {
-        self.least(prefixes, |t| t.confirmed)
-    }
-
-    /// The earliest of a time over all prefixes.
-    fn least(
-        &self,
-        prefixes: &[String],
-        time: impl Fn(&Through) -> Option<Instant>,
-    ) -> Option<Instant> {
-        let each = prefixes.iter().map(|p| time(self.through.get(p)?));
-        each.min().flatten()
-    }
-
-    fn confirm(&mut self, prefix: &str, asked: Option<Instant>, at: Option<Instant>) {
-        if let Some(through) = self.through.get_mut(prefix) {
-            through.confirmed = at.max(through.confirmed);
-            through.asked = asked.max(through.asked);
-        }
-    }
-
-    /// A page of what changed. All who follow from the same point are told the same one.
-    fn page(&mut self, after: u64, above: Revision) -> Page {
-        let change = self.items.change();
-        if self.pages.0 != change {
-            self.pages = (change, HashMap::new());
-        }
-        let items = &self.items;
-        let pages = &mut self.pages.1;
-        if pages.len() >= PAGES {
-            pages.clear();
-        }
-        let page = pages.entry((after, above));
-        page.or_insert_with(|| items.page(after, above)).clone()
-    }
-
-    fn put(&mut self, item: Item, now: Instant) -> bool {
-        let held = self.items.get(&item.key);
-        if held.is_some_and(|held| held.revision >= item.revision) {
-            return false;
-        }
-        self.items.put(item, now);
-        true
-    }
-
-    fn replace(
-        &mut self,
-        prefix: &str,
-        items: Vec<Item>,
-        revision: Revision,
-        now: Instant,
-    ) -> bool {
-        let listed: HashSet<&str> = items.iter().map(|i| i.key.as_str()).collect();
-        let gone = |item: &&Item| {
-            item.value.is_some() && item.revision <= revision && !listed.contains(item.key.as_str())
-        };
-        let under = self.items.under(prefix).map(|held| &held.item);
-        let gone: Vec<String> = under.filter(gone).map(|i| i.key.clone()).collect();
-        let mut fresh = !gone.is_empty();
-        for key in gone {
-            // At least as new as what is held, and stands over it.
-            let item = Item {
-                key,
-                value: None,
-                revision: revision.max(1),
-            };
-            self.items.put(item, now);
-        }
-        for item in items {
-            fresh |= self.put(item, now);
-        }
-        if !self.through.contains_key(prefix) {
-            self.listed = self.items.advance();
-            fresh = true;
-        }
-        let through = self.through.entry(prefix.to_owned()).or_insert(Through {
-            since: revision,
-            ..Through::default()
-        });
-        through.revision = revision.max(through.revision);
-        fresh
-    }
-}
