Evacuation in the product's own interface: a list in the operators' tree, and a command

gradedyke evacuate DATA_CENTRE [--withdraw]. Tests: tests/fleet.rs, and with real processes in tests/processes.rs (a name in which no server stands is refused with the remedy; twice the same changes nothing).

--- a/crates/gradedyke-base/src/settings/check.rs
+++ b/crates/gradedyke-base/src/settings/check.rs
@@ -82,6 +82,13 @@
             faults.add(&path, "serves no model; name at least one in models");
         }
     }
+    for data_centre in &tree.evacuated {
+        if !tree.has_data_centre(data_centre) {
+            let message =
+                format!("no backend server stands in {data_centre}; correct the name or drop it");
+            faults.add("evacuated", &message);
+        }
+    }
     faults.shared_keys(tree);
     faults.0
 }
--- a/crates/gradedyke-base/src/settings/tree.rs
+++ b/crates/gradedyke-base/src/settings/tree.rs
@@ -4,7 +4,7 @@
 //! A value that an agent program leaves out comes from its client account, then
 //! from `defaults`, then from the constants below; [`Tree::agent`] resolves it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -162,6 +162,9 @@
     /// Backend servers by name.
     #[serde(default)]
     pub backends: BTreeMap<String, Backend>,
+    /// Data centres whose backend servers get nothing new.
+    #[serde(default)]
+    pub evacuated: BTreeSet<String>,
 }
 
 /// Used when no level sets a budget, in tokens.
@@ -246,6 +249,12 @@
         })
     }
 
+    /// Whether a backend server stands in `data_centre`.
+    pub fn has_data_centre(&self, data_centre: &str) -> bool {
+        let mut backends = self.backends.values();
+        backends.any(|b| b.data_centre() == data_centre)
+    }
+
     /// Whether `key` is an operator's.
     pub fn is_operator(&self, key: &str) -> bool {
         let hash = hash_key(key);
--- a/crates/gradedyke-cli/src/admin.rs
+++ b/crates/gradedyke-cli/src/admin.rs
@@ -16,6 +16,9 @@
 /// Longest time for one question.
 const TIME: Duration = Duration::from_secs(10);
 
+/// Path of the tree.
+const SETTINGS: &str = "/admin/v1/settings";
+
 /// An admin listener with an operator's key.
 pub struct Admin {
     address: SocketAddr,
@@ -63,20 +66,38 @@
         self.ask(Method::GET, path, String::new(), None).await
     }
 
+    /// Reads the tree in force.
+    async fn settings(&self) -> eyre::Result<Snapshot> {
+        self.ask(Method::GET, SETTINGS, String::new(), None).await
+    }
+
     /// Puts the tree in `text` in force after `revision`, or after the one that
     /// is in force.
     pub async fn apply(&self, text: String, revision: Option<u64>) -> eyre::Result<u64> {
-        let path = "/admin/v1/settings";
         let revision = match revision {
             Some(revision) => revision,
-            None => {
-                let present: Snapshot = self.ask(Method::GET, path, String::new(), None).await?;
-                present.revision
-            }
+            None => self.settings().await?.revision,
         };
-        let applied: Snapshot = self.ask(Method::PUT, path, text, Some(revision)).await?;
+        let applied: Snapshot = self
+            .ask(Method::PUT, SETTINGS, text, Some(revision))
+            .await?;
         Ok(applied.revision)
     }
+
+    /// Evacuates a data centre, or takes that back. Returns the revision in force then.
+    async fn evacuate(&self, data_centre: &str, withdraw: bool) -> eyre::Result<u64> {
+        let present = self.settings().await?;
+        let mut tree = present.tree;
+        let changed = match withdraw {
+            true => tree.evacuated.remove(data_centre),
+            false => tree.evacuated.insert(data_centre.to_owned()),
+        };
+        if !changed {
+            return Ok(present.revision);
+        }
+        let text = serde_json::to_string(&tree)?;
+        self.apply(text, Some(present.revision)).await
+    }
 }
 
 /// `gradedyke settings apply`.
@@ -94,6 +115,17 @@
     Ok(())
 }
 
+/// `gradedyke evacuate`.
+pub fn evacuate(args: &mut pico_args::Arguments) -> Result<(), Failure> {
+    let admin = Admin::from_args(args)?;
+    let withdraw = args.contains("--withdraw");
+    let data_centre: String = args.free_from_str()?;
+    no_more(args)?;
+    let revision = runtime()?.block_on(admin.evacuate(&data_centre, withdraw))?;
+    println!("revision={revision}");
+    Ok(())
+}
+
 /// `gradedyke status`.
 pub fn status(args: &mut pico_args::Arguments) -> Result<(), Failure> {
     let admin = Admin::from_args(args)?;
--- a/crates/gradedyke-cli/src/help.rs
+++ b/crates/gradedyke-cli/src/help.rs
@@ -7,6 +7,7 @@
 
 commands:
   demo      run everything in one process and show what it does
+  evacuate  have a data centre's backend servers get nothing new
   run       run the roles that a settings file names
   serve     run one role on the users' platform
   explain   what the time of programs went to, from the logs
@@ -33,6 +34,14 @@
   --instances N  number of instances
 ";
 
+const EVACUATE: &str = "\
+usage: gradedyke evacuate DATA_CENTRE --admin ADDRESS --key KEY [--withdraw]
+
+Puts the tree in force again with DATA_CENTRE among those that are evacuated, and
+prints the new revision. From then on its backend servers get nothing new; what
+they have in progress ends there. --withdraw takes that back.
+";
+
 const RUN: &str = "\
 usage: gradedyke run --settings FILE
 
@@ -105,6 +114,7 @@
 pub fn text(topic: &str) -> &'static str {
     match topic {
         "demo" => DEMO,
+        "evacuate" => EVACUATE,
         "run" => RUN,
         "explain" => EXPLAIN,
         "serve" => SERVE,
--- a/crates/gradedyke-cli/src/main.rs
+++ b/crates/gradedyke-cli/src/main.rs
@@ -65,6 +65,7 @@
     }
     match command {
         "demo" => demo::command(args),
+        "evacuate" => admin::evacuate(args),
         "explain" => explain::command(args),
         "run" => run::command(args),
         "serve" => serve::command(args),
--- a/crates/gradedyke-cli/tests/processes.rs
+++ b/crates/gradedyke-cli/tests/processes.rs
@@ -138,6 +138,27 @@
     runs: Vec<engine::Run>,
 }
 
+/// Evacuates a data centre and takes that back, each twice.
+fn evacuate_and_take_back(admin: &str) {
+    let evacuate = |data_centre, more: &[&str]| {
+        let words = ["evacuate", data_centre, "--admin", admin, "--key", OPERATOR];
+        gradedyke(&[&words, more].concat())
+    };
+    let (code, _, error) = evacuate("nowhere", &[]);
+    assert_eq!(code, 1);
+    assert!(error.contains("no backend server stands in"), "{error}");
+    for (more, revision) in [
+        (&[][..], 2),
+        (&[], 2),
+        (&["--withdraw"], 3),
+        (&["--withdraw"], 3),
+    ] {
+        let (code, said, error) = evacuate("dc-1", more);
+        assert_eq!((code, error.as_str()), (0, ""));
+        assert_eq!(said, format!("revision={revision}\n"));
+    }
+}
+
 #[test]
 fn programs_survive_a_kill_and_a_drain_of_real_processes() {
     let folder = tempfile::tempdir().unwrap();
@@ -176,6 +197,8 @@
         "{status}"
     );
 
+    evacuate_and_take_back(&admin);
+
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
         let jordan = Caller::new(JORDAN, TIME);
--- a/crates/gradedyke-cli/tests/words.rs
+++ b/crates/gradedyke-cli/tests/words.rs
@@ -6,7 +6,9 @@
 
 #[test]
 fn every_command_has_help() {
-    for command in ["demo", "run", "settings", "status", "standin", "key"] {
+    for command in [
+        "demo", "evacuate", "run", "settings", "status", "standin", "key",
+    ] {
         let (code, help, _) = gradedyke(&[command, "--help"]);
         assert_eq!(code, 0);
         let usage = format!("usage: gradedyke {command}");
@@ -19,9 +21,10 @@
 #[test]
 fn wrong_words_exit_with_two_and_say_why() {
     // Each case: the words, and a part of what is said.
-    let cases: [(&[&str], &str); 8] = [
+    let cases: [(&[&str], &str); 9] = [
         (&["cook"], "no command cook"),
         (&["run"], "--settings"),
+        (&["evacuate", "north"], "--admin"),
         (&["run", "--settings", "/nowhere.jsonc"], "cannot be read"),
         (&["demo", "--instances", "0"], "use 1 or more"),
         (&["demo", "--fast"], "--fast is not understood"),
--- a/crates/gradedyke/src/routing/fleet.rs
+++ b/crates/gradedyke/src/routing/fleet.rs
@@ -58,6 +58,8 @@
     rests_until: Option<Instant>,
     /// The instance list says that it is leaving.
     listed_leaving: bool,
+    /// Its data centre is evacuated.
+    evacuated: bool,
 }
 
 /// A chosen backend server.
@@ -126,6 +128,10 @@
                 servers.insert(self.server(id, settings));
             }
         }
+        for server in servers.values_mut() {
+            let data_centre = server.settings.data_centre();
+            server.evacuated = tree.evacuated.contains(data_centre);
+        }
     }
 
     fn server(&self, id: id::Backend, settings: &Backend) -> Server {
@@ -153,6 +159,7 @@
             failures: 0,
             rests_until: None,
             listed_leaving: false,
+            evacuated: false,
         }
     }
 
@@ -319,7 +326,7 @@
 
 impl Server {
     fn leaves(&self) -> bool {
-        self.load.leaving || self.listed_leaving
+        self.load.leaving || self.listed_leaving || self.evacuated
     }
 
     fn rests(&self, now: Instant) -> bool {
--- a/crates/gradedyke/tests/fleet.rs
+++ b/crates/gradedyke/tests/fleet.rs
@@ -14,8 +14,8 @@
 
 const MODEL: &str = "m";
 
-/// A fleet of engines in the named data centres, seen from `north`.
-fn fleet(data_centres: &[&str]) -> Arc<Fleet> {
+/// A tree of an engine in each of the named data centres.
+fn tree(data_centres: &[&str]) -> Tree {
     let engines = data_centres.iter().enumerate().map(|(number, name)| {
         let engine = json!({
             "kind": "engine", "address": "127.0.0.1:1", "data_centre": name, "models": [MODEL],
@@ -23,9 +23,13 @@
         (format!("e{number}"), engine)
     });
     let backends: serde_json::Map<_, _> = engines.collect();
-    let tree: Tree = serde_json::from_value(json!({ "backends": backends })).unwrap();
+    serde_json::from_value(json!({ "backends": backends })).unwrap()
+}
+
+/// A fleet of engines in the named data centres, seen from `north`.
+fn fleet(data_centres: &[&str]) -> Arc<Fleet> {
     let fleet = Arc::new(Fleet::new("north"));
-    fleet.update(&tree);
+    fleet.update(&tree(data_centres));
     fleet
 }
 
@@ -70,6 +74,30 @@
     assert_eq!(candidates(&fleet, later).len(), 2);
 }
 
+#[tokio::test]
+async fn servers_of_an_evacuated_data_centre_are_no_candidates() {
+    let fleet = fleet(&["north", "south"]);
+    let now = Instant::now();
+    let key = candidates(&fleet, now)[0].key;
+    let booked = fleet.book(key, chain().keys(), &[10], 64);
+    // Which are evacuated, and how many servers are left.
+    let steps: [(&[&str], usize); 4] = [
+        (&["north"], 1),
+        (&["north", "south"], 0),
+        (&["south"], 1),
+        (&[], 2),
+    ];
+    for (evacuated, left) in steps {
+        let mut tree = tree(&["north", "south"]);
+        tree.evacuated = evacuated.iter().map(|d| (*d).to_owned()).collect();
+        fleet.update(&tree);
+        assert_eq!(candidates(&fleet, now).len(), left, "{evacuated:?}");
+    }
+    // What is in progress and known there stays.
+    assert_eq!(candidates(&fleet, now)[0].in_flight, 1);
+    drop(booked);
+}
+
 #[tokio::test]
 async fn leaving_servers_are_no_candidates_whichever_sign_comes() {
     let fleet = fleet(&["north"]);
