Servers that warm up are judged together where few of very many are weighed; one lock for all items

Change: all that warm up count. Also: items of the directory are taken in under one lock, so that no request is placed between a server's item and the evacuation of its data centre; packed items that say they are larger than any page are not unpacked, and the error has a line in the log; a short name that two servers share stays with the other.

--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -33,14 +33,10 @@
 use crate::mechanism::{Enabled, Mechanism};
 use crate::placement::{self, Candidate, Policy};
 use crate::prefix::Part;
-use known::{Known, State};
+use known::Known;
 pub use location::Location;
 use registry::Servers;
 
-/// Items that change at a time up to which each has a line in the log. A listing of thousands
-/// of servers would keep a small instance busy with nothing else.
-const LOGGED: usize = 64;
-
 new_key_type! {
     /// A backend server in the fleet.
     pub struct Key;
@@ -196,9 +192,7 @@
 
     /// How many servers are listed.
     pub fn listed(&self) -> usize {
-        let servers = self.lock();
-        let listed = |k: &&Known| k.state == State::Listed;
-        servers.servers.values().filter(listed).count()
+        self.lock().listed()
     }
 
     /// Whether the directory has told of any server yet.
@@ -214,15 +208,7 @@
     /// Takes in whether a data centre is evacuated. Nothing new is sent to the servers of
     /// one that is; what they have in progress ends there.
     pub fn evacuate(&self, data_centre: &str, evacuated: bool) {
-        let mut servers = self.lock();
-        let changed = match evacuated {
-            true => servers.evacuated.insert(data_centre.to_owned()),
-            false => servers.evacuated.remove(data_centre),
-        };
-        if changed {
-            tracing::info!(event = "evacuation", data_centre, evacuated);
-            metrics::gauge!("gradedyke_data_centres_evacuated").set(servers.evacuated.len() as f64);
-        }
+        self.lock().evacuate(data_centre, evacuated);
     }
 
     /// Whether a data centre is evacuated.
@@ -232,25 +218,13 @@
 
     /// Takes in an item of the directory that changed, which was learned then.
     pub fn apply(&self, item: &Item, learned: Instant, dialect: &dyn Dialect) {
-        if let Some(data_centre) = item.key.strip_prefix(dialect.evacuation_prefix()) {
-            return self.evacuate(data_centre, item.value.is_some());
-        }
         self.lock().apply(item, learned, dialect);
     }
 
     /// Takes in items of the directory that changed, each with the time at which that was
-    /// learned. Many at a time get one line in the log together.
+    /// learned: all of them before the next request is placed.
     pub fn apply_all(&self, items: &[(Item, Instant)], dialect: &dyn Dialect) {
-        let many = items.len() > LOGGED;
-        self.lock().quiet = many;
-        for (item, learned) in items {
-            self.apply(item, *learned, dialect);
-        }
-        self.lock().quiet = false;
-        if many {
-            let (items, listed) = (items.len(), self.listed());
-            tracing::info!(event = "directory_changed", items, listed);
-        }
+        self.lock().apply_all(items, dialect);
     }
 
     /// Forgets servers that vanished long enough ago. The directory has answered
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -19,6 +19,9 @@
 use crate::link::Pool;
 use crate::window::Window;
 
+/// Items that change at a time up to which each has a line in the log. A listing of thousands
+/// of servers would keep a small instance busy with nothing else.
+const LOGGED: usize = 64;
 /// Unreadable entries of unknown servers that are remembered, for one log line each.
 const UNREAD: usize = 1_024;
 
@@ -55,7 +58,7 @@
     /// no server.
     asked: HashMap<String, Window<Counts>>,
     /// Whether changes of servers are left out of the log.
-    pub(super) quiet: bool,
+    quiet: bool,
     /// The data centres that are evacuated.
     pub(super) evacuated: HashSet<String>,
 }
@@ -143,7 +146,11 @@
         let known = self.servers.remove(key)?;
         known.pool.clear();
         self.by_process.remove(&known.process);
-        self.by_short.remove(&load::server(&known.process));
+        let short = load::server(&known.process);
+        // Two servers may share a short name.
+        if self.by_short.get(&short) == Some(&key) {
+            self.by_short.remove(&short);
+        }
         let service = &known.server.service;
         if let Some(keys) = self.by_service.get_mut(service) {
             keys.retain(|k| *k != key);
@@ -154,8 +161,42 @@
         Some(known)
     }
 
+    /// Takes in whether a data centre is evacuated.
+    pub(super) fn evacuate(&mut self, data_centre: &str, evacuated: bool) {
+        let changed = match evacuated {
+            true => self.evacuated.insert(data_centre.to_owned()),
+            false => self.evacuated.remove(data_centre),
+        };
+        if changed {
+            tracing::info!(event = "evacuation", data_centre, evacuated);
+            metrics::gauge!("gradedyke_data_centres_evacuated").set(self.evacuated.len() as f64);
+        }
+    }
+
+    /// Takes in items of the directory that changed, each with the time at which that was
+    /// learned. Many at a time get one line in the log together.
+    pub(super) fn apply_all(&mut self, items: &[(Item, Instant)], dialect: &dyn Dialect) {
+        self.quiet = items.len() > LOGGED;
+        for (item, learned) in items {
+            self.apply(item, *learned, dialect);
+        }
+        if std::mem::take(&mut self.quiet) {
+            let (items, listed) = (items.len(), self.listed());
+            tracing::info!(event = "directory_changed", items, listed);
+        }
+    }
+
+    /// How many servers are listed.
+    pub(super) fn listed(&self) -> usize {
+        let listed = |k: &&Known| k.state == State::Listed;
+        self.servers.values().filter(listed).count()
+    }
+
     /// Takes in an item of the directory that changed, which was learned then.
     pub(super) fn apply(&mut self, item: &Item, learned: Instant, dialect: &dyn Dialect) {
+        if let Some(data_centre) = item.key.strip_prefix(dialect.evacuation_prefix()) {
+            return self.evacuate(data_centre, item.value.is_some());
+        }
         let name = item.key.strip_prefix(dialect.server_prefix());
         let Some(id) = name.and_then(Id::parse) else {
             return;
@@ -266,38 +307,40 @@
             let vanished = known.state != State::Listed;
             (vanished, rests && known.resting(question.now))
         };
-        let open = self.warmed(question, self.open(question, from));
+        let open = self.warmed(question, from, self.open(question, from));
         let best = open.iter().map(rank).min();
         open.into_iter().filter(|k| Some(rank(k)) == best).collect()
     }
 
-    /// The servers that may be sent the request, however busy they are: all, or of very
-    /// many those that are worth weighing.
+    /// Whether a server may be sent the request, however busy it is.
+    fn may(&self, key: Key, question: &Question<'_>, from: &Location) -> bool {
+        let known = &self.servers[key];
+        let data_centre = &known.server.data_centre;
+        !known.server.leaving
+            && !known.unread
+            && !known.replaced
+            && !question.tried.contains(&key)
+            && !self.evacuated.contains(data_centre)
+            && from.allows(question.regions, data_centre)
+    }
+
+    /// The servers that may be sent the request: all, or of very many those that are worth
+    /// weighing.
     fn open(&self, question: &Question<'_>, from: &Location) -> Vec<Key> {
         let Some(keys) = self.by_service.get(question.service) else {
             return Vec::new();
         };
-        let open = |key: &Key| {
-            let known = &self.servers[*key];
-            let data_centre = &known.server.data_centre;
-            !known.server.leaving
-                && !known.unread
-                && !known.replaced
-                && !question.tried.contains(key)
-                && known.server.service == question.service
-                && !self.evacuated.contains(data_centre)
-                && from.allows(question.regions, data_centre)
-        };
+        let may = |key: Key| self.may(key, question, from);
         if keys.len() <= sample::ALL {
-            return keys.iter().filter(|k| open(k)).copied().collect();
+            return keys.iter().copied().filter(|k| may(*k)).collect();
         }
         let near = |key: Key| self.servers[key].server.data_centre == from.data_centre;
-        let mut weighed = sample::draw(keys, question.request, |k| open(&k), near);
+        let mut weighed = sample::draw(keys, question.request, may, near);
         let recent = self.recent.get(question.service).into_iter();
         let recent = recent.flat_map(Recent::keys);
         let holder = question.holder.and_then(|h| self.by_process.get(h));
         for key in recent.chain(holder.copied()) {
-            if open(&key) && !weighed.contains(&key) {
+            if may(key) && !weighed.contains(&key) {
                 weighed.push(key);
             }
         }
@@ -305,7 +348,7 @@
     }
 
     /// Leaves out those of `open` that warm up and have their share of the requests.
-    fn warmed(&self, question: &Question<'_>, open: Vec<Key>) -> Vec<Key> {
+    fn warmed(&self, question: &Question<'_>, from: &Location, open: Vec<Key>) -> Vec<Key> {
         let Some(rate) = question.warm_up_rate else {
             return open;
         };
@@ -314,7 +357,7 @@
         if cold.is_empty() {
             return able;
         }
-        let load = self.load(question);
+        let load = self.load(question, from);
         let candidates = cold.iter().map(|key| {
             let known = &self.servers[*key];
             slow_start::Candidate {
@@ -344,23 +387,25 @@
     }
 
     /// The load of a service, as far as entries tell each other.
-    fn load(&self, question: &Question<'_>) -> slow_start::Load {
-        let keys = self.by_service.get(question.service).into_iter().flatten();
-        let sums = keys.fold((0, 0), |(in_flight, ended), key| {
-            let known = &self.servers[*key];
-            (
-                in_flight + known.taken(),
-                ended + known.ended_lately(question.now),
-            )
-        });
+    fn load(&self, question: &Question<'_>, from: &Location) -> slow_start::Load {
         let times = self.times(question.service, question.engine);
         let asked = self.asked.get(question.service);
-        slow_start::Load {
+        let mut load = slow_start::Load {
             asked: asked.map_or(Counts::default(), |a| a.sum(question.now)),
             shared: self.told.is_some(),
-            in_flight: sums.0,
-            ended_lately: sums.1,
+            in_flight: 0,
+            ended_lately: 0,
             answer_ms: times.answer_ms,
+            warming: 0,
+        };
+        let keys = self.by_service.get(question.service).into_iter().flatten();
+        for key in keys {
+            let known = &self.servers[*key];
+            load.in_flight += known.taken();
+            load.ended_lately += known.ended_lately(question.now);
+            let warms = !known.warm(question.now) && self.may(*key, question, from);
+            load.warming += u32::from(warms);
         }
+        load
     }
 }
--- a/crates/gradedyke-gateway/src/fleet/slow_start.rs
+++ b/crates/gradedyke-gateway/src/fleet/slow_start.rs
@@ -23,6 +23,8 @@
     pub ended_lately: u32,
     /// Usual time of a request, in milliseconds.
     pub answer_ms: f64,
+    /// Servers that warm up and may run the request, weighed for it or not.
+    pub warming: u32,
     /// Requests of late at this entry, with those that found no server as failures.
     pub asked: Counts,
 }
@@ -65,7 +67,9 @@
 /// use gradedyke_gateway::health::Counts;
 ///
 /// let asked = Counts::default();
-/// let load = Load { shared: true, in_flight: 60, ended_lately: 900, answer_ms: 200.0, asked };
+/// let load = Load {
+///     shared: true, in_flight: 60, ended_lately: 900, answer_ms: 200.0, warming: 1, asked,
+/// };
 /// let candidate = |draw| Candidate { in_flight: 0, draw };
 /// // 12 of 300 requests a second.
 /// assert_eq!(choose(&[candidate(u64::MAX / 30)], 20.0, &load, true), [0]);
@@ -83,7 +87,7 @@
     let chosen: Vec<usize> = chosen
         .filter(|place| drawn(candidates[*place].draw, share))
         .collect();
-    let enough = share * candidates.len() as f64 >= 1.0;
+    let enough = share * f64::from(load.warming) >= 1.0;
     if !chosen.is_empty() || warm || !enough {
         return chosen;
     }
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -305,8 +305,12 @@
             Ok(_) | Err(Unanswered::NotUnderstood) => return Left::NotUnderstood,
             Err(Unanswered::Failed(_)) => return Left::Silent,
         };
-        let Ok(items) = news.items.unpack() else {
-            return Left::NotUnderstood;
+        let items = match news.items.unpack() {
+            Ok(items) => items,
+            Err(error) => {
+                tracing::warn!(event = "news_not_read", %source, %error);
+                return Left::NotUnderstood;
+            }
         };
         let age = news.age_ms.map(Duration::from_millis);
         let fresh = reader.fresh(age);
--- a/crates/gradedyke-turns/src/mirror/packed.rs
+++ b/crates/gradedyke-turns/src/mirror/packed.rs
@@ -8,6 +8,10 @@
 /// Encoded bytes from which on compression is worth its time.
 const COMPRESSED_BYTES: usize = 1 << 10;
 
+/// Most bytes of encoded items: a page, and the largest value that may fill it, with room to
+/// spare. Nothing is unpacked that says it is larger.
+const LARGEST_BYTES: usize = 4 << 20;
+
 /// Why packed items cannot be taken apart.
 #[derive(Clone, Debug, thiserror::Error)]
 #[error("packed items cannot be read ({0}); run the same version everywhere")]
@@ -30,6 +34,12 @@
     compressed: bool,
 }
 
+impl From<lz4_flex::block::DecompressError> for Error {
+    fn from(error: lz4_flex::block::DecompressError) -> Self {
+        Self(error.to_string())
+    }
+}
+
 impl From<Vec<Item>> for Packed {
     fn from(items: Vec<Item>) -> Self {
         if items.is_empty() {
@@ -77,8 +87,11 @@
         if !self.compressed {
             return decode(&self.bytes);
         }
-        let encoded = lz4_flex::decompress_size_prepended(&self.bytes);
-        decode(&encoded.map_err(|e| Error(e.to_string()))?)
+        let (size, compressed) = lz4_flex::block::uncompressed_size(&self.bytes)?;
+        if size > LARGEST_BYTES {
+            return Err(Error(format!("{size} bytes are more than {LARGEST_BYTES}")));
+        }
+        decode(&lz4_flex::decompress(compressed, size)?)
     }
 }
 
