Crate gradedyke-policy: the decisions, moved out of the gateway

Placement, estimates, health, prompt prefixes, demand, throttle, allowances and accounts decided without I/O already, but were built with the HTTP gateway and could use anything in it. They are a crate of their own now, below the gateway, with their three test files. MIN_RETRY_AFTER moves with the throttle, which uses it.

--- a/crates/gradedyke-gateway/src/config.rs
+++ b/crates/gradedyke-gateway/src/config.rs
@@ -7,7 +7,7 @@
 
 use gradedyke_turns::record::Id;
 
-use crate::account::Directory;
+use gradedyke_policy::account::Directory;
 
 /// Whether requests of a route may run more than once, and whether their responses are streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gradedyke-gateway/src/dialect.rs
+++ b/crates/gradedyke-gateway/src/dialect.rs
@@ -10,10 +10,10 @@
 use gradedyke_turns::record::Id;
 use http::{HeaderMap, StatusCode};
 
-use crate::account::{Account, Key};
 use crate::config::Config;
 use crate::fleet::Server;
-use crate::prefix::Part;
+use gradedyke_policy::account::{Account, Key};
+use gradedyke_policy::prefix::Part;
 
 /// Metadata of a caller's request, taken from its headers.
 #[derive(Clone, Debug, Default)]
--- a/crates/gradedyke-gateway/src/entry/admission.rs
+++ b/crates/gradedyke-gateway/src/entry/admission.rs
@@ -9,11 +9,11 @@
 use super::Entry;
 use super::call::Call;
 use super::refusal::Refusal;
-use crate::account::Account;
-use crate::allowance::{Charge, Decision, Snapshot};
 use crate::config::Route;
 use crate::dialect::Meta;
-use crate::mechanism::Mechanism;
+use gradedyke_policy::account::Account;
+use gradedyke_policy::allowance::{Charge, Decision, Snapshot};
+use gradedyke_policy::mechanism::Mechanism;
 
 /// Timeout of one usage query to the keepers.
 const USAGE_QUERY_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -19,9 +19,9 @@
 use super::refusal::Refusal;
 use crate::dialect::{Head, Outbound};
 use crate::fleet::{Choice, Key, Query};
-use crate::health::Failure;
 use crate::link::{self, Connection};
-use crate::mechanism::Mechanism;
+use gradedyke_policy::health::Failure;
+use gradedyke_policy::mechanism::Mechanism;
 
 /// A request is not sent when less time than this is left until its deadline.
 pub const MIN_TIME_LEFT_TO_SEND: Duration = Duration::from_millis(5);
--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -8,10 +8,10 @@
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
-use crate::account::Account;
-use crate::allowance::Charge;
 use crate::config::{Config, Route};
 use crate::dialect::Meta;
+use gradedyke_policy::account::Account;
+use gradedyke_policy::allowance::Charge;
 
 /// A response is considered slow after the route's latency objective times this factor.
 const SLOW_RATIO: f64 = 1.5;
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -34,16 +34,16 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::account::{Account, Directory};
-use crate::allowance::Limiter;
 use crate::config::{Config, Kind, Route};
-use crate::demand::Demand;
 use crate::dialect::{Dialect, Meta};
 use crate::fleet::Fleet;
-use crate::mechanism::Mechanisms;
-use crate::throttle::Throttle;
 use call::Call;
 use door::RefusedRequest;
+use gradedyke_policy::account::{Account, Directory};
+use gradedyke_policy::allowance::Limiter;
+use gradedyke_policy::demand::Demand;
+use gradedyke_policy::mechanism::Mechanisms;
+use gradedyke_policy::throttle::Throttle;
 use refusal::Refusal;
 
 pub use door::{CallerHandler, ReadinessHandler};
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -18,8 +18,8 @@
 use super::refusal::Refusal;
 use crate::config::Kind;
 use crate::fleet::Query;
-use crate::health::Failure;
-use crate::mechanism::Mechanism;
+use gradedyke_policy::health::Failure;
+use gradedyke_policy::mechanism::Mechanism;
 
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use gradedyke_http::Body;
 use gradedyke_http::body;
+use gradedyke_policy::MIN_RETRY_AFTER;
 use http::{HeaderValue, Response, StatusCode, header};
 
 /// Why an entry responded to a request with an error.
@@ -46,8 +47,6 @@
     TimedOut,
 }
 
-/// Shortest retry delay that callers are given, apart from the jitter.
-pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Longest retry delay that callers are given, apart from the jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Retry delay for a client account that has used its allowance.
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -19,11 +19,11 @@
 use super::call::Call;
 use super::upstream::StreamRequest;
 use crate::dialect::Head;
-use crate::estimate::Timing;
 use crate::event::Splitter;
 use crate::fleet::Choice;
-use crate::health;
 use crate::link::Connection;
+use gradedyke_policy::estimate::Timing;
+use gradedyke_policy::health;
 
 /// Number of events after which the average time between events is reported to the fleet, so
 /// that a slow server is detected before its response ends.
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -23,8 +23,8 @@
 use super::refusal::Refusal;
 use super::relay;
 use super::upstream::StreamRequest;
-use crate::mechanism::Mechanism;
-use crate::throttle;
+use gradedyke_policy::mechanism::Mechanism;
+use gradedyke_policy::throttle;
 
 /// Timeout of one exchange with the keepers that begins a turn.
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -27,12 +27,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
-use crate::estimate::{self, LatencyRatioSum, Times, Timing};
-use crate::health::Failure;
 use crate::link::Pool;
-use crate::mechanism::{Mechanism, Mechanisms};
-use crate::placement::{self, Candidate, Policy};
-use crate::prefix::Part;
+use gradedyke_policy::estimate::{self, LatencyRatioSum, Times, Timing};
+use gradedyke_policy::health::Failure;
+use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
+use gradedyke_policy::placement::{self, Candidate, Policy};
+use gradedyke_policy::prefix::Part;
 use registry::Registry;
 use server_state::ServerState;
 pub use topology::Topology;
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -14,10 +14,10 @@
 use super::slow_start;
 use super::{Key, Query, Server, Topology, request_hash};
 use crate::dialect::{Dialect, Error};
-use crate::estimate::{self, Times};
-use crate::health::Counts;
 use crate::link::Pool;
-use crate::window::Window;
+use gradedyke_policy::estimate::{self, Times};
+use gradedyke_policy::health::Counts;
+use gradedyke_policy::window::Window;
 
 /// Largest number of directory changes in a batch that are logged one by one. Larger
 /// batches get a single log line.
--- a/crates/gradedyke-gateway/src/fleet/server_state.rs
+++ b/crates/gradedyke-gateway/src/fleet/server_state.rs
@@ -9,11 +9,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Server;
-use crate::estimate::LatencyRatioSum;
-use crate::health::{Counts, Health, HealthReport};
 use crate::link::Pool;
-use crate::prefix::Cache;
-use crate::window::Window;
+use gradedyke_policy::estimate::LatencyRatioSum;
+use gradedyke_policy::health::{Counts, Health, HealthReport};
+use gradedyke_policy::prefix::Cache;
+use gradedyke_policy::window::Window;
 
 /// Number of other entries that must report a server as unreachable before it is
 /// avoided.
--- a/crates/gradedyke-gateway/src/fleet/slow_start.rs
+++ b/crates/gradedyke-gateway/src/fleet/slow_start.rs
@@ -5,8 +5,8 @@
 //! considers a warming server for a random fraction of its requests, chosen so that the average
 //! total rate is `TARGET_UTILIZATION` of the limit.
 
-use crate::health::Counts;
-use crate::window;
+use gradedyke_policy::health::Counts;
+use gradedyke_policy::window;
 
 /// Target average rate, as a fraction of the maximum rate.
 const TARGET_UTILIZATION: f64 = 0.6;
@@ -69,7 +69,7 @@
 ///
 /// ```
 /// use gradedyke_gateway::fleet::slow_start::{WarmingServer, ServiceLoad, eligible_indices};
-/// use gradedyke_gateway::health::Counts;
+/// use gradedyke_policy::health::Counts;
 ///
 /// let recent_requests = Counts::default();
 /// let load = ServiceLoad {
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -16,20 +16,16 @@
 //! that read the platform's key-value store on behalf of all other processes. A keeper outside
 //! the view is a *spare*.
 //!
+//! The decisions themselves (placement, admission, limits of client accounts) are in
+//! [`gradedyke_policy`]; this crate gathers their inputs and carries them out.
+//!
 //! The names of headers and keys are known only to the implementation of
 //! [`dialect::Dialect`], outside this crate.
 //!
 //! - [`dialect`]: interface to the formats of callers, backend servers and the platform.
-//! - [`config`]: the operator's routes and services; [`account`]: client accounts and their
-//!   keys.
+//! - [`config`]: the operator's routes and services.
 //! - [`settings`]: settings of one process.
-//! - [`fleet`]: the known backend servers; [`health`]: health of a server; [`prefix`]: prompt
-//!   prefixes in a server's cache; [`estimate`]: estimated durations; [`placement`]: the
-//!   choice of a server for a request.
-//! - [`allowance`]: rate limits of client accounts; [`demand`]: expected number of requests
-//!   of a program; [`throttle`]: admission of new programs while keepers are overloaded.
-//! - [`mechanism`]: mechanisms that can be switched off, to measure their effect.
-//! - [`window`]: sums over a sliding time window.
+//! - [`fleet`]: the known backend servers.
 //! - [`link`]: connections to backend servers.
 //! - [`event`]: splitting of event streams.
 //! - [`entry`]: handling of requests and responses.
@@ -37,23 +33,13 @@
 //! - [`meter`]: metrics recorder and metrics page.
 //! - [`process`]: start and shutdown of a process.
 
-pub mod account;
-pub mod allowance;
 pub mod config;
-pub mod demand;
 pub mod dialect;
 pub mod entry;
-pub mod estimate;
 pub mod event;
 pub mod fleet;
 pub mod follow;
-pub mod health;
 pub mod link;
-pub mod mechanism;
 pub mod meter;
-pub mod placement;
-pub mod prefix;
 pub mod process;
 pub mod settings;
-pub mod throttle;
-pub mod window;
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -10,6 +10,7 @@
 use gradedyke_http::Server;
 use gradedyke_http::server::{Config, Protocol};
 use gradedyke_platform::kv::KeyValue;
+use gradedyke_policy::placement;
 use gradedyke_turns::desk::Dispatcher;
 use gradedyke_turns::detour::Forwarder;
 use gradedyke_turns::membership::{self, Membership};
@@ -23,15 +24,15 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::allowance::Limiter;
-use crate::demand::Demand;
 use crate::dialect::Dialect;
 use crate::entry::{self, CallerHandler, Entry, ReadinessHandler};
 use crate::fleet::Fleet;
-use crate::mechanism::Mechanisms;
 use crate::settings::Settings;
-use crate::throttle::Throttle;
-use crate::{follow, meter, placement};
+use crate::{follow, meter};
+use gradedyke_policy::allowance::Limiter;
+use gradedyke_policy::demand::Demand;
+use gradedyke_policy::mechanism::Mechanisms;
+use gradedyke_policy::throttle::Throttle;
 
 /// External dependencies of a process.
 #[derive(Clone)]
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -9,8 +9,8 @@
 use serde::Deserialize;
 
 use crate::fleet::Topology;
-use crate::mechanism::{Mechanism, Mechanisms};
-use crate::placement;
+use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
+use gradedyke_policy::placement;
 
 /// Addresses a process listens on.
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/gradedyke-load/src/decision.rs
+++ b/crates/gradedyke-load/src/decision.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 
 use gradedyke_gateway::fleet::{Fleet, Query, Server};
-use gradedyke_gateway::mechanism::Mechanisms;
-use gradedyke_gateway::placement;
-use gradedyke_gateway::prefix::Part;
+use gradedyke_policy::mechanism::Mechanisms;
+use gradedyke_policy::placement;
+use gradedyke_policy::prefix::Part;
 use gradedyke_turns::record::Id;
 use serde_json::{Value, json};
 use tokio::time::Instant;
--- a/crates/gradedyke-load/src/placement.rs
+++ b/crates/gradedyke-load/src/placement.rs
@@ -1,9 +1,9 @@
 //! Simulates all placement policies, and one policy with each of its mechanisms disabled, with
 //! the setups of `gradedyke-model`.
 
-use gradedyke_gateway::mechanism::Mechanism;
-use gradedyke_gateway::placement;
 use gradedyke_model::simulation::{Outcome, Policy, Setup, run, setups};
+use gradedyke_policy::mechanism::Mechanism;
+use gradedyke_policy::placement;
 use serde_json::{Value, json};
 
 /// The policy that is also simulated without each of [`TESTED_MECHANISMS`].
--- a/crates/gradedyke-load/src/usage.rs
+++ b/crates/gradedyke-load/src/usage.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-use gradedyke_gateway::account::{Account, Allowance};
-use gradedyke_gateway::allowance::Limiter;
+use gradedyke_policy::account::{Account, Allowance};
+use gradedyke_policy::allowance::Limiter;
 use gradedyke_turns::message;
 use gradedyke_turns::record::Id;
 use gradedyke_turns::usage::Aggregator;
--- a/crates/gradedyke-model/src/engine.rs
+++ b/crates/gradedyke-model/src/engine.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use gradedyke_gateway::prefix::{Cache, Part};
+use gradedyke_policy::prefix::{Cache, Part};
 use serde::Deserialize;
 
 /// Performance characteristics of an engine.
--- a/crates/gradedyke-model/src/program.rs
+++ b/crates/gradedyke-model/src/program.rs
@@ -1,7 +1,7 @@
 //! The simulated agent programs. A program makes one turn after the other, with pauses
 //! between them, and each turn adds to its conversation.
 
-use gradedyke_gateway::prefix::Part;
+use gradedyke_policy::prefix::Part;
 use gradedyke_turns::record::Id;
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt};
--- a/crates/gradedyke-model/src/simulation.rs
+++ b/crates/gradedyke-model/src/simulation.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gradedyke_gateway::estimate::Timing;
 use gradedyke_gateway::fleet::{Choice, Fleet, Query, Server};
-use gradedyke_gateway::mechanism::{Mechanism, Mechanisms};
-use gradedyke_gateway::placement;
+use gradedyke_policy::estimate::Timing;
+use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
+use gradedyke_policy::placement;
 use gradedyke_turns::load::{Aggregator, ServerLoad};
 use gradedyke_turns::record::Id;
 use rand::rngs::StdRng;
--- a/crates/gradedyke-model/tests/sweep.rs
+++ b/crates/gradedyke-model/tests/sweep.rs
@@ -3,9 +3,9 @@
 //!
 //! Each run has a burst from second 4 to second 8.
 
-use gradedyke_gateway::mechanism::Mechanism;
-use gradedyke_gateway::placement;
 use gradedyke_model::simulation::{Outcome, Policy, Setup, run, setups};
+use gradedyke_policy::mechanism::Mechanism;
+use gradedyke_policy::placement;
 
 const SEED: u64 = 7;
 
--- a/crates/gradedyke-gateway/src/account.rs
+++ b/crates/gradedyke-policy/src/account.rs
@@ -18,7 +18,7 @@
     /// Hashes the key that a caller sent as `text`.
     ///
     /// ```
-    /// use gradedyke_gateway::account::Key;
+    /// use gradedyke_policy::account::Key;
     ///
     /// assert_eq!(Key::hash("8wuakn2f"), Key::hash("8wuakn2f"));
     /// assert_eq!(format!("{:?}", Key::hash("8wuakn2f")), "Key");
@@ -60,7 +60,7 @@
     /// The ID under which data is stored for the `id` that callers of this account chose.
     ///
     /// ```
-    /// use gradedyke_gateway::account::Account;
+    /// use gradedyke_policy::account::Account;
     /// use gradedyke_turns::record::Id;
     ///
     /// let account = |name| Account {
--- a/crates/gradedyke-gateway/src/allowance.rs
+++ b/crates/gradedyke-policy/src/allowance.rs
@@ -36,8 +36,8 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use gradedyke_gateway::account::Allowance;
-/// use gradedyke_gateway::allowance::limit;
+/// use gradedyke_policy::account::Allowance;
+/// use gradedyke_policy::allowance::limit;
 ///
 /// let allowance = Allowance { requests_per_s: 10.0, burst: 5.0 };
 /// assert_eq!(limit(&allowance, Duration::from_secs(5)), 55);
--- a/crates/gradedyke-gateway/src/demand.rs
+++ b/crates/gradedyke-policy/src/demand.rs
@@ -65,7 +65,7 @@
     /// there are too few observations.
     ///
     /// ```
-    /// use gradedyke_gateway::demand::Demand;
+    /// use gradedyke_policy::demand::Demand;
     ///
     /// let now = tokio::time::Instant::now();
     /// let demand = Demand::default();
--- a/crates/gradedyke-gateway/src/estimate.rs
+++ b/crates/gradedyke-policy/src/estimate.rs
@@ -29,7 +29,7 @@
     /// `weight` points, half of them at each end of `0..=span`.
     ///
     /// ```
-    /// use gradedyke_gateway::estimate::LinearFit;
+    /// use gradedyke_policy::estimate::LinearFit;
     ///
     /// let mut fit = LinearFit::new(10.0, 0.5, 100.0, 10.0);
     /// assert!((fit.predict(100.0) - 60.0).abs() < 1e-6);
@@ -109,7 +109,7 @@
     /// Creates an average that starts at `value`, which counts as `weight` observations.
     ///
     /// ```
-    /// use gradedyke_gateway::estimate::DecayingMean;
+    /// use gradedyke_policy::estimate::DecayingMean;
     ///
     /// let mut mean = DecayingMean::new(100.0, 4.0);
     /// for _ in 0..1_000 {
@@ -175,7 +175,7 @@
     /// The average ratio of observed to expected time, including the prior observations of 1.
     ///
     /// ```
-    /// use gradedyke_gateway::estimate::LatencyRatioSum;
+    /// use gradedyke_policy::estimate::LatencyRatioSum;
     ///
     /// let sum = LatencyRatioSum::from_ratio(5.0) + LatencyRatioSum::from_ratio(5.0);
     /// assert_eq!(sum.slowness(), 1.8);
--- a/crates/gradedyke-gateway/src/health.rs
+++ b/crates/gradedyke-policy/src/health.rs
@@ -86,7 +86,7 @@
     /// Estimated share of requests that fail, 0 to 1.
     ///
     /// ```
-    /// use gradedyke_gateway::health::Counts;
+    /// use gradedyke_policy::health::Counts;
     ///
     /// let counts = Counts { failures: 2, requests: 47 };
     /// assert_eq!(counts.failure_rate(), 0.04);
@@ -121,7 +121,7 @@
     /// Records a failure. Returns the resulting backoff, if any.
     ///
     /// ```
-    /// use gradedyke_gateway::health::{Failure, Health, HealthReport};
+    /// use gradedyke_policy::health::{Failure, Health, HealthReport};
     ///
     /// let now = tokio::time::Instant::now();
     /// let mut health = Health::default();
--- a/crates/gradedyke-gateway/src/mechanism.rs
+++ b/crates/gradedyke-policy/src/mechanism.rs
@@ -58,7 +58,7 @@
     /// Enables all mechanisms except those in `disabled`.
     ///
     /// ```
-    /// use gradedyke_gateway::mechanism::{Mechanisms, Mechanism};
+    /// use gradedyke_policy::mechanism::{Mechanisms, Mechanism};
     ///
     /// let mechanisms = Mechanisms::all_except(&[Mechanism::Warm]);
     /// assert!(!mechanisms.is_enabled(Mechanism::Warm));
--- a/crates/gradedyke-gateway/src/placement/mod.rs
+++ b/crates/gradedyke-policy/src/placement/mod.rs
@@ -66,8 +66,8 @@
 /// are there, in milliseconds.
 ///
 /// ```
-/// use gradedyke_gateway::estimate::ServiceEstimate;
-/// use gradedyke_gateway::placement::wait_ms;
+/// use gradedyke_policy::estimate::ServiceEstimate;
+/// use gradedyke_policy::placement::wait_ms;
 ///
 /// let times = ServiceEstimate::default().times(false);
 /// assert_eq!(wait_ms(3, 4, &times), 0.0);
@@ -103,7 +103,7 @@
 /// Builds every registered policy, keyed by name.
 ///
 /// ```
-/// use gradedyke_gateway::{mechanism::Mechanisms, placement};
+/// use gradedyke_policy::{mechanism::Mechanisms, placement};
 ///
 /// let policies = placement::policies(Mechanisms::default());
 /// assert!(policies.contains_key("cost"));
--- a/crates/gradedyke-gateway/src/prefix.rs
+++ b/crates/gradedyke-policy/src/prefix.rs
@@ -43,7 +43,7 @@
     /// Number of tokens of a prompt that are not cached.
     ///
     /// ```
-    /// use gradedyke_gateway::prefix::{Cache, Part};
+    /// use gradedyke_policy::prefix::{Cache, Part};
     /// use gradedyke_turns::record::Id;
     ///
     /// let part = |name, tokens| Part { id: Id::parse(name).unwrap(), tokens };
--- a/crates/gradedyke-gateway/src/throttle.rs
+++ b/crates/gradedyke-policy/src/throttle.rs
@@ -15,7 +15,7 @@
 use gradedyke_turns::record::Id;
 use tokio::time::Instant;
 
-use crate::entry::refusal::MIN_RETRY_AFTER;
+use crate::MIN_RETRY_AFTER;
 
 /// Half-life of the counts of admitted and refused turns.
 const COUNT_HALF_LIFE: Duration = Duration::from_millis(500);
@@ -58,7 +58,7 @@
 /// Hashes a program's ID to a number in `0.0..1.0`, the same at every entry.
 ///
 /// ```
-/// use gradedyke_gateway::throttle;
+/// use gradedyke_policy::throttle;
 /// use gradedyke_turns::record::Id;
 ///
 /// let program = Id::parse("p").unwrap();
@@ -104,7 +104,7 @@
     /// Share of new programs that are admitted, 0 to 1.
     ///
     /// ```
-    /// use gradedyke_gateway::throttle::Throttle;
+    /// use gradedyke_policy::throttle::Throttle;
     ///
     /// let now = tokio::time::Instant::now();
     /// let throttle = Throttle::default();
@@ -129,7 +129,7 @@
     /// fewer programs are admitted, the longer.
     ///
     /// ```
-    /// use gradedyke_gateway::throttle::Throttle;
+    /// use gradedyke_policy::throttle::Throttle;
     /// use std::time::Duration;
     ///
     /// let throttle = Throttle::default();
--- a/crates/gradedyke-gateway/src/window.rs
+++ b/crates/gradedyke-policy/src/window.rs
@@ -43,7 +43,7 @@
     /// The sum of both buckets at `now`.
     ///
     /// ```
-    /// use gradedyke_gateway::window::Window;
+    /// use gradedyke_policy::window::Window;
     /// use std::time::Duration;
     ///
     /// let now = tokio::time::Instant::now();
--- a/crates/gradedyke-gateway/tests/allowance.rs
+++ b/crates/gradedyke-policy/tests/allowance.rs
@@ -4,8 +4,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use gradedyke_gateway::account::{Account, Allowance};
-use gradedyke_gateway::allowance::{Charge, Decision, Limiter, Snapshot};
+use gradedyke_policy::account::{Account, Allowance};
+use gradedyke_policy::allowance::{Charge, Decision, Limiter, Snapshot};
 use gradedyke_turns::record::Id;
 use gradedyke_turns::usage::{self, Aggregator, Report, Total};
 use rand::rngs::StdRng;
@@ -97,7 +97,7 @@
         requests_per_s,
         burst: 0.0,
     };
-    usize::try_from(gradedyke_gateway::allowance::limit(&allowance, WINDOW)).unwrap()
+    usize::try_from(gradedyke_policy::allowance::limit(&allowance, WINDOW)).unwrap()
 }
 
 impl Simulation {
--- a/crates/gradedyke-gateway/tests/overload.rs
+++ b/crates/gradedyke-policy/tests/overload.rs
@@ -8,7 +8,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use gradedyke_gateway::throttle::Throttle;
+use gradedyke_policy::throttle::Throttle;
 use gradedyke_turns::backlog;
 use gradedyke_turns::pressure::Meter;
 use rand::rngs::StdRng;
--- a/crates/gradedyke-gateway/tests/placement.rs
+++ b/crates/gradedyke-policy/tests/placement.rs
@@ -1,8 +1,8 @@
 //! Checks which engine the default placement policy chooses.
 
-use gradedyke_gateway::estimate::Times;
-use gradedyke_gateway::mechanism::Mechanisms;
-use gradedyke_gateway::placement::{Candidate, policies};
+use gradedyke_policy::estimate::Times;
+use gradedyke_policy::mechanism::Mechanisms;
+use gradedyke_policy::placement::{Candidate, policies};
 
 /// An engine with the given number of requests in flight and prompt tokens to read.
 fn engine(in_flight: u32, uncached_tokens: u64) -> Candidate {
