--- a/crates/gradedyke-policy/src/mechanism.rs
+++ b/crates/gradedyke-policy/src/mechanism.rs
@@ -42,6 +42,19 @@
     WholePrograms,
     /// Fewer new programs are admitted while keepers are overloaded.
     Throttle,
+    /// Expected times of a server follow its own pace where servers of a service differ.
+    ServerPace,
+    /// Shared prompt parts are assigned to some of the engines.
+    PrefixOwners,
+    /// Programs under way have the requests that they still need reserved in their account's
+    /// allowance.
+    ProgramPlan,
+    /// The retry delay of a refusal for outdated data follows the length of the outage.
+    OutageRetry,
+    /// Fewer new programs are admitted while the engines of a service are full.
+    CapacityAdmission,
+    /// The urgency at an engine depends on whether the program can still end in time.
+    SlackUrgency,
 }
 
 /// The set of enabled mechanisms.
