--- a/crates/gradedyke-gateway/tests/follow/main.rs
+++ b/crates/gradedyke-gateway/tests/follow/main.rs
@@ -27,6 +27,9 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// Time within which entries must detect that the store responds again.
 const DETECTION_TIME: Duration = Duration::from_secs(1);
+/// Time within which entries must detect it without keepers: the 1.5 s after which they give up
+/// a call that the store never answers, and two of their poll intervals of at most 150 ms.
+const LONE_DETECTION_TIME: Duration = Duration::from_millis(1_800);
 /// Interval at which the state of the entries is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of entries of a small and of a larger deployment.
@@ -197,7 +200,13 @@
             deployment.store.set_outage(Some(Outage::Silent));
             deployment.run_for(ms(outage_ms), ms(500)).await;
             deployment.store.set_outage(None);
-            deployment.run_for(RECOVERY_TIME, ms(500)).await;
+            let detection_time = deployment.time_until_confirmed().await;
+            assert!(
+                detection_time <= LONE_DETECTION_TIME,
+                "{entries} entries, after {outage_ms} ms: detected after {detection_time:?}"
+            );
+            let rest = RECOVERY_TIME.saturating_sub(detection_time);
+            deployment.run_for(rest, ms(500)).await;
             let lag = deployment.lag();
             assert!(
                 lag <= PROPAGATION_LIMIT,
