Allowances for whole programs: programs are planned when they begin

Change: the requests that a program needs follow from the time that it should take, by a rate learned for each route with a prior. A beginning program is charged as planned with its share of a window, and again for each further window that it runs. Turns beyond its plan get only what other programs leave. The retry delay of a refusal follows from what the window holds. Refunds are reported at once. No message changes its encoding. Takes effect for accounts with an allowance; `program_plan` in decisions.off.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -206,10 +206,11 @@
         let call = match self.read_call(request, meta.clone(), arrived).await {
             Ok(call) => call,
             Err(refusal) => {
+                let expected_wait = self.unrouted_wait(refusal, &meta);
                 return Err(RefusedRequest {
                     refusal,
                     meta,
-                    expected_wait: Duration::ZERO,
+                    expected_wait,
                 });
             }
         };
@@ -219,10 +220,10 @@
             Kind::Stream => turn::serve(self, call).await,
             Kind::Idempotent | Kind::AtMostOnce => self.serve_buffered(call).await,
         };
-        if let (Err(refusal), Some(charge)) = (&result, &refused_call.charge)
+        if let Err(refusal) = &result
             && refusal.is_unexecuted()
         {
-            self.limiter.refund(charge);
+            self.refund(&refused_call, *refusal);
         }
         result.map_err(|refusal| RefusedRequest {
             refusal,
@@ -231,6 +232,7 @@
                 Refusal::Throttled | Refusal::NoKeepers => {
                     self.throttle.retry_after(Instant::now())
                 }
+                Refusal::AllowanceExceeded => self.refused_wait(&refused_call),
                 _ => self.estimate_slot_wait(&refused_call),
             },
         })
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -49,8 +49,6 @@
 
 /// Longest retry delay that callers are given, apart from the jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Retry delay for a client account that has used its allowance.
-const ALLOWANCE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Range of the random factor applied to retry delays, so that callers that were refused
 /// together do not retry together.
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.75..1.25;
@@ -106,8 +104,9 @@
     }
 
     /// Returns the delay after which the caller should retry; `None` if a retry does not
-    /// help. `expected_wait` is the estimated time until a backend server has a free slot, or the
-    /// delay from `Throttle::retry_after`. `random`, from 0 to 1, selects the jitter.
+    /// help. `expected_wait` is the estimated time until a backend server has a free slot or the
+    /// allowance has room, or the delay from `Throttle::retry_after`. `random`, from 0 to 1,
+    /// selects the jitter.
     ///
     /// ```
     /// use gradedyke_gateway::entry::refusal::Refusal;
@@ -121,10 +120,10 @@
     pub fn retry_after(self, expected_wait: Duration, random: f64) -> Option<Duration> {
         let wait = match self {
             Refusal::NoConfig => STARTUP_RETRY_AFTER,
-            Refusal::AllowanceExceeded => ALLOWANCE_RETRY_AFTER,
-            Refusal::NoCapacity | Refusal::NoKeepers | Refusal::Throttled => {
-                expected_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-            }
+            Refusal::NoCapacity
+            | Refusal::NoKeepers
+            | Refusal::Throttled
+            | Refusal::AllowanceExceeded => expected_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             Refusal::NoServer | Refusal::StaleData => MIN_RETRY_AFTER,
             _ => return None,
         };
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -101,15 +101,13 @@
                 entry.fleet.set_peer_load(&load, Instant::now());
             }
             if let (Some(snapshot), Some(total)) = (snapshot, begun.usage)
-                && !entry.record_usage(call, snapshot, total)
+                && !(entry.record_usage(call, snapshot, total)
+                    && entry.admits_progress(call, total, begun.program_attempts))
             {
                 reservation.settle(entry, 0);
                 return Err(Refusal::AllowanceExceeded);
             }
-            let is_program_start = Call::is_program_start(&call.route, &call.meta);
-            entry
-                .demand
-                .record_turn(&call.route.name, is_program_start, Instant::now());
+            entry.record_demand(call, begun.program_attempts);
             Ok((begun.transcript, reservation))
         }
         Err(error) => {
--- a/crates/gradedyke-policy/src/lib.rs
+++ b/crates/gradedyke-policy/src/lib.rs
@@ -7,8 +7,8 @@
 //! - [`account`]: client accounts and their keys; [`allowance`]: rate limits of client accounts.
 //! - [`estimate`]: estimated durations; [`health`]: health of a server; [`prefix`]: prompt
 //!   prefixes in a server's cache; [`placement`]: the choice of a server for a request.
-//! - [`demand`]: expected number of requests of a program; [`throttle`]: admission of new
-//!   programs while keepers are overloaded.
+//! - [`demand`]: expected number of requests of a program; [`plan`]: when it is expected to make
+//!   them; [`throttle`]: admission of new programs while keepers are overloaded.
 //! - [`mechanism`]: mechanisms that can be switched off, to measure their effect.
 //! - [`window`]: sums over a sliding time window.
 
@@ -19,6 +19,7 @@
 pub mod health;
 pub mod mechanism;
 pub mod placement;
+pub mod plan;
 pub mod prefix;
 pub mod throttle;
 pub mod window;
--- a/crates/gradedyke-turns/src/decay.rs
+++ b/crates/gradedyke-turns/src/decay.rs
@@ -33,7 +33,12 @@
 
     /// Adds one to the value at `now`.
     pub fn increment(&mut self, half_life: Duration, now: Instant) {
-        self.value = self.value_at(half_life, now) + 1.0;
+        self.add(1.0, half_life, now);
+    }
+
+    /// Adds `value` to the value at `now`.
+    pub fn add(&mut self, value: f64, half_life: Duration, now: Instant) {
+        self.value = self.value_at(half_life, now) + value;
         self.as_of = Some(now);
     }
 }
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -106,6 +106,9 @@
     pub load: Option<Vec<ServerLoad>>,
     /// Total usage of the client account, if requested.
     pub usage: Option<Total>,
+    /// Number of the program's attempts that replicas know, including this one; 0 without a
+    /// budget.
+    pub program_attempts: usize,
     /// Duration of the successful try, without the retries before it.
     pub elapsed: Duration,
 }
--- a/crates/gradedyke-turns/src/quorum/begin.rs
+++ b/crates/gradedyke-turns/src/quorum/begin.rs
@@ -196,6 +196,7 @@
         if let Some((reserved, budget)) = &params.reservation {
             collected.check_budget(reserved, *budget)?;
         }
+        let program_attempts = collected.program_attempts();
         let unclaimed_load = self.unclaimed_load.take();
         let load = collected.load.or(unclaimed_load);
         let usage = collected.usage;
@@ -203,6 +204,7 @@
             return Ok(BeginResponse {
                 load,
                 usage,
+                program_attempts,
                 ..BeginResponse::default()
             });
         }
@@ -223,6 +225,7 @@
             transcript: Some(transcript),
             load,
             usage,
+            program_attempts,
             ..BeginResponse::default()
         })
     }
--- a/crates/gradedyke-turns/src/quorum/gathered.rs
+++ b/crates/gradedyke-turns/src/quorum/gathered.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Number of known attempts of the program, including this one.
+    pub(super) fn program_attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
     /// Checks that the budget has room for the reservation in addition to all other attempts.
     pub(super) fn check_budget(&self, reserved: &Reserved, budget: u64) -> Result<(), Error> {
         let others = self.attempts.values();
