A store that doesn't answer: keys used until the bound, retry delays that follow the outage

Cause: keys were accepted for 0.9 of the revocation limit, the data was 0.6 to 1.2 s old when an outage began, and each refused caller was told 250 ms, so that its tries were used up within half a second.

Change: keys are used until 0.1 s before the limit; watches of the store are paced (0.3 s wait, 0.3 s pause) where keys must be confirmed; followers hear at once that an outage has ended; the retry delay follows the length of the outage, former ones and the time that the caller has left (policy::outage). No message changes its encoding. Takes effect where revocation_ms is set; `outage_retry` in decisions.off.

--- a/crates/gradedyke-gateway/src/entry/door.rs
+++ b/crates/gradedyke-gateway/src/entry/door.rs
@@ -28,8 +28,8 @@
 pub(super) struct RefusedRequest {
     pub(super) refusal: Refusal,
     pub(super) meta: Meta,
-    /// Expected time until a backend server has a free slot, or the delay from
-    /// `Throttle::retry_after`.
+    /// Expected time until a backend server has a free slot, the delay from
+    /// `Throttle::retry_after`, or that from `outage::History::delay`.
     pub(super) expected_wait: Duration,
 }
 
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -42,7 +42,8 @@
 use gradedyke_policy::account::{Account, Directory};
 use gradedyke_policy::allowance::Limiter;
 use gradedyke_policy::demand::Demand;
-use gradedyke_policy::mechanism::Mechanisms;
+use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
+use gradedyke_policy::outage::History;
 use gradedyke_policy::throttle::Throttle;
 use refusal::Refusal;
 
@@ -55,12 +56,21 @@
 const INITIAL_CONFIG_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Maximum age of the local data at which API keys are accepted, as a fraction of the
-/// revocation time.
+/// revocation time, without [`Mechanism::OutageRetry`].
 const MAX_KEY_AGE_RATIO: f64 = 0.9;
 
+/// Difference between the revocation time and the maximum age of the local data at which API
+/// keys are accepted. The age counts from a call that was sent before the revocation was
+/// confirmed, so the margin has to cover only clocks that run at different speeds (500 ppm are
+/// 2.5 ms in 5 s) and the usual time from a request's arrival to its start at a server.
+const KEY_AGE_MARGIN: Duration = Duration::from_millis(100);
+
 /// Returns the greatest age of the local data at which API keys are still accepted, if a
 /// revoked key must stop working within `revocation`.
-pub fn max_key_age(revocation: Duration) -> Duration {
+pub fn max_key_age(revocation: Duration, mechanisms: Mechanisms) -> Duration {
+    if mechanisms.is_enabled(Mechanism::OutageRetry) {
+        return revocation.saturating_sub(KEY_AGE_MARGIN);
+    }
     revocation.mul_f64(MAX_KEY_AGE_RATIO)
 }
 
@@ -83,6 +93,8 @@
     pub demand: Demand,
     /// Limits how many programs begin while the keepers are overloaded.
     pub throttle: Throttle,
+    /// Outages of the platform's key-value store that this entry has observed.
+    pub outages: History,
     /// The optional mechanisms that are switched on in the settings.
     pub mechanisms: Mechanisms,
     /// Cancelled when the process begins its graceful shutdown.
@@ -141,6 +153,48 @@
         }
     }
 
+    /// Records the end of an outage of the platform's key-value store.
+    pub(crate) fn record_outage(&self) {
+        let confirmed_at = self.mirror.complete_as_of();
+        let length = confirmed_at.and_then(|at| self.outages.record_confirmation(at));
+        if let Some(length) = length {
+            tracing::info!(event = "store_outage_ended", length_ms = length.as_millis());
+            metrics::histogram!("gradedyke_store_outage_seconds").record(length.as_secs_f64());
+        }
+    }
+
+    /// Returns the retry delay of a request that arrived at `arrived` and is refused because
+    /// the local data may be outdated; zero if the shortest delay applies.
+    fn outage_delay(&self, meta: &Meta, arrived: Instant) -> Duration {
+        let config = self.config.load();
+        let requires_keys = config.as_ref().is_some_and(|c| c.accounts.is_some());
+        // If only this entry is disconnected, another one can serve the caller at once.
+        let applies = requires_keys
+            && self.mechanisms.is_enabled(Mechanism::OutageRetry)
+            && !self.quorum.is_isolated();
+        let max_key_age = self.max_key_age.filter(|_| applies);
+        let (Some(max_key_age), Some(confirmed_at)) = (max_key_age, self.mirror.complete_as_of())
+        else {
+            return Duration::ZERO;
+        };
+        let now = Instant::now();
+        let timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let time_left = (arrived + timeout).saturating_duration_since(now);
+        let delay = self
+            .outages
+            .delay(confirmed_at, now, time_left, max_key_age);
+        tracing::info!(
+            event = "outage_delay",
+            request = meta.request_id.as_ref().map_or("none", |id| id.as_str()),
+            lasted_ms = delay.lasted.as_millis(),
+            time_left_ms = time_left.as_millis(),
+            longer_outages = delay.longer_outages,
+            wait_ms = delay.wait.as_millis()
+        );
+        metrics::histogram!("gradedyke_outage_delay_seconds").record(delay.wait.as_secs_f64());
+        delay.wait
+    }
+
     /// Applies the configuration in the mirror, if it is newer, and returns the active one.
     fn load_latest_config(&self) -> Option<Arc<Config>> {
         self.apply_config();
@@ -206,7 +260,10 @@
         let call = match self.read_call(request, meta.clone(), arrived).await {
             Ok(call) => call,
             Err(refusal) => {
-                let expected_wait = self.unrouted_wait(refusal, &meta);
+                let expected_wait = match refusal {
+                    Refusal::StaleData => self.outage_delay(&meta, arrived),
+                    refusal => self.unrouted_wait(refusal, &meta),
+                };
                 return Err(RefusedRequest {
                     refusal,
                     meta,
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gradedyke_http::Body;
 use gradedyke_http::body;
-use gradedyke_policy::MIN_RETRY_AFTER;
+use gradedyke_policy::{MIN_RETRY_AFTER, outage};
 use http::{HeaderValue, Response, StatusCode, header};
 
 /// Why an entry responded to a request with an error.
@@ -105,8 +105,9 @@
 
     /// Returns the delay after which the caller should retry; `None` if a retry does not
     /// help. `expected_wait` is the estimated time until a backend server has a free slot or the
-    /// allowance has room, or the delay from `Throttle::retry_after`. `random`, from 0 to 1,
-    /// selects the jitter.
+    /// allowance has room, the delay from `Throttle::retry_after`, or for outdated data the
+    /// shortest useful delay, zero if nothing is known about it. `random`, from 0 to 1, selects
+    /// the jitter.
     ///
     /// ```
     /// use gradedyke_gateway::entry::refusal::Refusal;
@@ -118,17 +119,21 @@
     /// assert_eq!(Refusal::BudgetExceeded.retry_after(second, 0.5), None);
     /// ```
     pub fn retry_after(self, expected_wait: Duration, random: f64) -> Option<Duration> {
+        let jitter = match self {
+            Refusal::StaleData if !expected_wait.is_zero() => outage::JITTER,
+            _ => RETRY_AFTER_JITTER,
+        };
         let wait = match self {
             Refusal::NoConfig => STARTUP_RETRY_AFTER,
             Refusal::NoCapacity
             | Refusal::NoKeepers
             | Refusal::Throttled
             | Refusal::AllowanceExceeded => expected_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
-            Refusal::NoServer | Refusal::StaleData => MIN_RETRY_AFTER,
+            Refusal::StaleData => expected_wait.max(MIN_RETRY_AFTER),
+            Refusal::NoServer => MIN_RETRY_AFTER,
             _ => return None,
         };
-        let factor =
-            RETRY_AFTER_JITTER.start + (RETRY_AFTER_JITTER.end - RETRY_AFTER_JITTER.start) * random;
+        let factor = jitter.start + (jitter.end - jitter.start) * random;
         Some(wait.mul_f64(factor))
     }
 
--- a/crates/gradedyke-gateway/src/follow.rs
+++ b/crates/gradedyke-gateway/src/follow.rs
@@ -27,6 +27,14 @@
     initial_max_delay: Duration::from_millis(50),
     max_delay: Duration::from_millis(800),
     low_need_max_delay: Duration::from_millis(800),
+    pacing: None,
+};
+
+/// Pacing of the calls to the store where keys may be used only while they are confirmed: the
+/// copy is 0.3 to 0.9 s old instead of 0.6 to 1.2 s when an outage begins, for as many calls.
+pub const CONFIRMED_KEYS_PACING: mirror::Pacing = mirror::Pacing {
+    max_wait: Duration::from_millis(300),
+    pause: Duration::from_millis(300),
 };
 
 /// Poll and retry intervals of an entry. They are longer than those of a keeper, because
@@ -68,6 +76,8 @@
     pub peers: Arc<dyn feed::Peers>,
     /// Time within which a change must take effect.
     pub propagation_limit: Duration,
+    /// Pacing of the entry's calls to the store.
+    pub pacing: Option<mirror::Pacing>,
 }
 
 impl EntryFollower {
@@ -98,7 +108,11 @@
             let now = Instant::now();
             policy.need(mirror.age(now), now)
         };
-        follow(tasks, &self.mirror, kv, need, ENTRY_TIMING, stop);
+        let timing = mirror::Timing {
+            pacing: self.pacing,
+            ..ENTRY_TIMING
+        };
+        follow(tasks, &self.mirror, kv, need, timing, stop);
     }
 }
 
@@ -118,6 +132,8 @@
     pub(crate) policy: Arc<feed::Policy>,
     /// Decides when the standby reads the store in place of the primary watcher.
     pub(crate) standby: feed::Standby,
+    /// Pacing of the keeper's calls to the store.
+    pub(crate) pacing: Option<mirror::Pacing>,
 }
 
 impl KeeperFollower {
@@ -172,7 +188,11 @@
             stop.clone(),
         ));
         let mirror = keeper.mirror.clone();
+        let timing = mirror::Timing {
+            pacing: keeper.pacing,
+            ..KEEPER_TIMING
+        };
         let need = move || keeper.need(Instant::now());
-        follow(tasks, &mirror, kv, need, KEEPER_TIMING, stop);
+        follow(tasks, &mirror, kv, need, timing, stop);
     }
 }
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -14,7 +14,7 @@
 use gradedyke_turns::desk::Dispatcher;
 use gradedyke_turns::detour::Forwarder;
 use gradedyke_turns::membership::{self, Membership};
-use gradedyke_turns::mirror::Mirror;
+use gradedyke_turns::mirror::{self, Mirror};
 use gradedyke_turns::quorum::Coordinator;
 use gradedyke_turns::replica::{self, Replica};
 use gradedyke_turns::{feed, log, snapshot};
@@ -31,7 +31,8 @@
 use crate::{follow, meter};
 use gradedyke_policy::allowance::Limiter;
 use gradedyke_policy::demand::Demand;
-use gradedyke_policy::mechanism::Mechanisms;
+use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
+use gradedyke_policy::outage::History;
 use gradedyke_policy::throttle::Throttle;
 
 /// External dependencies of a process.
@@ -97,6 +98,13 @@
     dialect.prefixes()
 }
 
+/// Returns the pacing of the calls to the platform's store.
+fn watch_pacing(settings: &Settings) -> Option<mirror::Pacing> {
+    let mechanisms = Mechanisms::all_except(&settings.decisions.off);
+    let applies = settings.revocation().is_some() && mechanisms.is_enabled(Mechanism::OutageRetry);
+    applies.then_some(follow::CONFIRMED_KEYS_PACING)
+}
+
 impl Process {
     fn new(settings: Settings, entry: Option<Arc<Entry>>, stop: CancellationToken) -> Self {
         let mut tasks = JoinSet::new();
@@ -158,11 +166,14 @@
             limiter: Limiter::new(rand::random(), settings.allowance_window(), Instant::now()),
             demand: Demand::default(),
             throttle: Throttle::default(),
+            outages: History::default(),
             mechanisms,
             drain: CancellationToken::new(),
             config_revision: Mutex::default(),
             propagation_limit,
-            max_key_age: settings.revocation().map(entry::max_key_age),
+            max_key_age: settings
+                .revocation()
+                .map(|revocation| entry::max_key_age(revocation, mechanisms)),
             mirror_cursor: Mutex::new(0),
             active_requests: AtomicUsize::new(0),
         });
@@ -174,6 +185,7 @@
             mirror,
             peers: coordinator,
             propagation_limit,
+            pacing: watch_pacing(&process.settings.load()),
         };
         follower.start(tasks, &environment.kv, sources, Instant::now(), &stop);
         tasks.spawn(refresh(entry.clone(), stop.clone()));
@@ -263,6 +275,7 @@
             coordinator: Coordinator::new(mirror.clone(), &config.data_centre, None),
             policy: Arc::new(policy),
             standby: feed::Standby::default(),
+            pacing: watch_pacing(&process.settings.load()),
         };
         follower.start(tasks, &environment.kv, &stop);
         let (replica_mirror, replica_stop, replica_folder) =
@@ -386,6 +399,7 @@
         }
         let now = Instant::now();
         entry.record_gauges(now);
+        entry.record_outage();
         entry
             .fleet
             .remove_expired(entry.mirror.service_available_since(), now);
--- a/crates/gradedyke-gateway/tests/follow/main.rs
+++ b/crates/gradedyke-gateway/tests/follow/main.rs
@@ -14,8 +14,10 @@
 
 use gradedyke_gateway::follow;
 use gradedyke_platform::kv::KeyValue;
-use gradedyke_turns::mirror::{self, Mirror, Need};
+use gradedyke_turns::mirror::{self, Mirror, Need, Pacing};
 use network::{Failure, Network, PeerClient};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use store::{Client, Outage, Store};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -30,6 +32,9 @@
 /// Time within which entries must detect it without keepers: the 1.5 s after which they give up
 /// a call that the store never answers, and two of their poll intervals of at most 150 ms.
 const LONE_DETECTION_TIME: Duration = Duration::from_millis(1_800);
+/// Time in which an entry selects the source that it follows. Keepers hold a request for up to
+/// 300 ms while nothing changes.
+const SOURCE_SELECTION_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the state of the entries is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of entries of a small and of a larger deployment.
@@ -50,17 +55,26 @@
     keeper_cut_off: Arc<AtomicBool>,
     network: Arc<Network>,
     entries: Vec<Arc<Mirror>>,
+    /// The keeper's data.
+    keeper: Arc<Mirror>,
+    pacing: Option<Pacing>,
     tasks: JoinSet<()>,
     stop: CancellationToken,
 }
 
 impl Deployment {
     fn start(entries: u16) -> Self {
+        Self::start_paced(entries, None)
+    }
+
+    fn start_paced(entries: u16, pacing: Option<Pacing>) -> Self {
         let mut deployment = Self {
+            pacing,
             store: Store::new(Instant::now()),
             keeper_cut_off: Arc::default(),
             network: Arc::new(Network::default()),
             entries: Vec::new(),
+            keeper: Mirror::new(&[""]),
             tasks: JoinSet::new(),
             stop: CancellationToken::new(),
         };
@@ -72,13 +86,17 @@
     }
 
     fn add_keeper(&mut self) {
-        let mirror = Mirror::new(&[""]);
+        let mirror = self.keeper.clone();
         self.network.add(address(1), mirror.clone(), true);
         let client = Client::new(self.store.clone());
         self.keeper_cut_off = client.cut_off.clone();
         let (kv, stop) = (Arc::new(client), self.stop.clone());
         let need = || Need::High;
-        let follow = mirror::follow(mirror, kv, String::new(), need, follow::KEEPER_TIMING, stop);
+        let timing = mirror::Timing {
+            pacing: self.pacing,
+            ..follow::KEEPER_TIMING
+        };
+        let follow = mirror::follow(mirror, kv, String::new(), need, timing, stop);
         self.tasks.spawn(follow);
     }
 
@@ -97,6 +115,7 @@
             mirror,
             peers: Arc::new(peers),
             propagation_limit: PROPAGATION_LIMIT,
+            pacing: self.pacing,
         };
         let sources = move || network.keepers();
         follower.start(&mut self.tasks, &kv, sources, Instant::now(), &stop);
@@ -145,15 +164,18 @@
 
 #[tokio::test(start_paused = true)]
 async fn changes_arrive_in_time_without_keepers() {
-    for (entries, failure) in [
-        (ENTRY_COUNTS[0], Failure::Silent),
-        (ENTRY_COUNTS[0], Failure::Refused),
-        (ENTRY_COUNTS[1], Failure::Silent),
-        (ENTRY_COUNTS[1], Failure::Refused),
+    let paced = Some(follow::CONFIRMED_KEYS_PACING);
+    for (entries, failure, pacing) in [
+        (ENTRY_COUNTS[0], Failure::Silent, None),
+        (ENTRY_COUNTS[0], Failure::Refused, None),
+        (ENTRY_COUNTS[1], Failure::Silent, None),
+        (ENTRY_COUNTS[1], Failure::Refused, None),
+        (ENTRY_COUNTS[0], Failure::Silent, paced),
+        (ENTRY_COUNTS[1], Failure::Refused, paced),
     ] {
         // Intervals that place changes at different moments of a failure.
         for interval in [ms(50), ms(250), ms(930)] {
-            let deployment = Deployment::start(entries);
+            let deployment = Deployment::start_paced(entries, pacing);
             let mut worst = deployment.run_for(ms(5_000), interval).await;
             for _ in 0..5 {
                 deployment.network.set_keeper_failure(Some(failure));
@@ -307,3 +329,80 @@
         assert_eq!(deployment.lag(), Duration::ZERO, "{entries} entries");
     }
 }
+
+/// Mean age of the entries' data and number of calls to the store in a minute in which changes
+/// are about `interval` apart.
+async fn age_and_calls(pacing: Option<Pacing>, interval: Duration) -> (Duration, usize) {
+    let deployment = Deployment::start_paced(ENTRY_COUNTS[0], pacing);
+    deployment.run_for(ms(5_000), ms(500)).await;
+    let calls = || deployment.store.calls.load(Ordering::Relaxed);
+    let (before, mut ages) = (calls(), Vec::new());
+    let mut random = StdRng::seed_from_u64(1);
+    let end = Instant::now() + ms(60_000);
+    let mut next_change = Instant::now();
+    while Instant::now() < end {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let confirmed = deployment.entries.iter().filter_map(|m| m.complete_as_of());
+        ages.extend(confirmed.map(|at| at.elapsed()));
+        if Instant::now() >= next_change {
+            deployment.store.change(Instant::now());
+            let unit: f64 = random.random();
+            next_change = Instant::now() + interval.mul_f64(-(1.0 - unit).ln());
+        }
+    }
+    let count = u32::try_from(ages.len()).unwrap();
+    (ages.iter().sum::<Duration>() / count, calls() - before)
+}
+
+/// Guards against keys that are refused earlier in an outage than necessary, because the data
+/// is old when it begins, and against more calls to the store in exchange.
+#[tokio::test(start_paused = true)]
+async fn paced_calls_keep_the_data_younger_without_more_calls() {
+    for interval_ms in [200, 350, 500, 700, 1_000, 2_000, 60_000] {
+        let (age, calls) = age_and_calls(None, ms(interval_ms)).await;
+        let pacing = Some(follow::CONFIRMED_KEYS_PACING);
+        let (paced_age, paced_calls) = age_and_calls(pacing, ms(interval_ms)).await;
+        let case = format!("a change every {interval_ms} ms");
+        assert!(
+            paced_calls as f64 <= 1.1 * calls as f64,
+            "{case}: {paced_calls} calls instead of {calls}"
+        );
+        assert!(
+            paced_age <= age.mul_f64(0.85),
+            "{case}: {paced_age:?} instead of {age:?}"
+        );
+    }
+}
+
+/// Guards against entries that refuse requests after an outage for as long as their keeper
+/// waits for a change before it answers them.
+#[tokio::test(start_paused = true)]
+async fn entries_learn_the_end_of_an_outage_with_their_keeper() {
+    let pacing = Some(follow::CONFIRMED_KEYS_PACING);
+    let deployment = Deployment::start_paced(ENTRY_COUNTS[0], pacing);
+    deployment.run_for(ms(5_000), ms(60_000)).await;
+    for phase in 0..20 {
+        deployment.store.set_outage(Some(Outage::Silent));
+        deployment
+            .run_for(ms(2_500 + 170 * phase), ms(60_000))
+            .await;
+        let ended = Instant::now();
+        deployment.store.set_outage(None);
+        // A call that was sent just before the end of the outage may be answered.
+        let sent = ended - ms(10);
+        let is_confirmed = |m: &Arc<Mirror>| m.complete_as_of() >= Some(sent);
+        while !is_confirmed(&deployment.keeper) {
+            tokio::time::sleep(ms(1)).await;
+        }
+        let learned = Instant::now();
+        while !deployment.entries.iter().all(is_confirmed) {
+            tokio::time::sleep(ms(1)).await;
+        }
+        assert!(
+            learned.elapsed() <= SOURCE_SELECTION_TIME,
+            "phase {phase}: {:?} after the keeper",
+            learned.elapsed()
+        );
+        deployment.run_for(ms(3_000), ms(60_000)).await;
+    }
+}
--- a/crates/gradedyke-gateway/tests/follow/store.rs
+++ b/crates/gradedyke-gateway/tests/follow/store.rs
@@ -169,6 +169,7 @@
             client: self.clone(),
             known: usize::try_from(from).unwrap() - 1,
             called_before: false,
+            max_wait: WATCH_TIMEOUT,
         }))
     }
 }
@@ -178,6 +179,7 @@
     known: usize,
     /// Whether this is not the first call, which returns at once.
     called_before: bool,
+    max_wait: Duration,
 }
 
 #[async_trait]
@@ -189,7 +191,7 @@
         let changed = changes.wait_for(|changes| changes.len() > known);
         // Without a change the call returns an empty result after this time.
         let wait = if std::mem::replace(&mut self.called_before, true) {
-            WATCH_TIMEOUT
+            self.max_wait
         } else {
             Duration::ZERO
         };
@@ -205,4 +207,8 @@
         self.known = revision;
         Ok(vec![Event::Put(Store::entry(revision))])
     }
+
+    fn set_max_wait(&mut self, wait: Duration) {
+        self.max_wait = wait;
+    }
 }
--- a/crates/gradedyke-platform/src/kv.rs
+++ b/crates/gradedyke-platform/src/kv.rs
@@ -167,6 +167,10 @@
     /// Any [`Error`]; the watch has ended. Start a new one after the last revision
     /// seen or, after [`Error::Compacted`], list the keys first.
     async fn next(&mut self) -> Result<Vec<Event>, Error>;
+
+    /// Limits how long a call waits for changes before it returns none. A watch that does not
+    /// consist of calls ignores it.
+    fn set_max_wait(&mut self, _wait: Duration) {}
 }
 
 /// Calls [`KeyValue::swap`] and, if its outcome is unknown, reads the key to find out
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -38,20 +38,36 @@
 const MIN_RESELECT_DELAY: Duration = Duration::from_secs(2);
 /// Delay between the first requests to successive sources.
 const STAGGER_DELAY: Duration = Duration::from_millis(3);
+/// Longest time for which a request is held that arrives within this time after the end of an
+/// outage of the store: it may have been sent by a follower that got a reply just before.
+const REGAINED_WAIT: Duration = Duration::from_millis(50);
 /// Longest time for which a request of a follower is held, whatever it asks for.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(5);
 
 /// Returns what changed in `mirror` after `cursor`, waiting up to `wait` for a change. If
-/// nothing changed, the result still holds the age of the copy.
+/// nothing changed, the result still holds the age of the copy. It is returned at once when an
+/// outage of the store ends, so that followers learn this without delay.
 pub async fn long_poll(mirror: &Mirror, cursor: &Cursor, wait: Duration) -> Update {
     let received_at = Instant::now();
     let mut changed = mirror.subscribe();
+    let mut regained = mirror.subscribe_regained();
     let update = mirror.update_since(cursor, received_at, received_at);
     if !update.items.is_empty() || update.listing {
         return update;
     }
     let change = changed.wait_for(|change| *change > cursor.change);
-    let _ = tokio::time::timeout(wait.min(MAX_LONG_POLL_WAIT), change).await;
+    let regained_at = *regained.borrow_and_update();
+    let regained_lately = regained_at.is_some_and(|at| received_at < at + REGAINED_WAIT);
+    let max_wait = if regained_lately {
+        REGAINED_WAIT
+    } else {
+        MAX_LONG_POLL_WAIT
+    };
+    tokio::select! {
+        _ = change => {}
+        _ = regained.changed() => {}
+        () = tokio::time::sleep(wait.min(max_wait)) => {}
+    }
     mirror.update_since(cursor, received_at, Instant::now())
 }
 
@@ -283,7 +299,9 @@
     session: &mut Session<'_>,
 ) -> EndReason {
     let source = session.source;
-    let wait_ms = u32::try_from(LONG_POLL_WAIT.as_millis()).unwrap_or(u32::MAX);
+    // The source may have learned of the end of an outage before this request, so the first one
+    // is answered at once.
+    let mut wait_ms = 0;
     let started = Instant::now();
     loop {
         let cursor = Cursor {
@@ -295,6 +313,7 @@
             wait_ms,
             address: peers.forwarding_address(),
         };
+        wait_ms = u32::try_from(LONG_POLL_WAIT.as_millis()).unwrap_or(u32::MAX);
         let sent = Instant::now();
         let update = match peers.call(source, &request, CALL_TIMEOUT).await {
             Ok(Reply::News(update)) => update,
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -24,7 +24,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-pub use follow::{Need, Timing, follow};
+pub use follow::{Need, Pacing, Timing, follow};
 pub use packed::PackedItems;
 use state::State;
 
@@ -103,8 +103,14 @@
     prefixes: Vec<String>,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
+    /// When the store last confirmed the copy after an outage.
+    regained: watch::Sender<Option<Instant>>,
 }
 
+/// Age of a copy from which a confirmation ends an outage. While the store answers, a copy is
+/// at most 1.3 s old.
+const OUTAGE_AGE: Duration = Duration::from_millis(1_500);
+
 impl Mirror {
     /// Creates an empty copy of the keys that begin with one of `prefixes`.
     pub fn new(prefixes: &[&str]) -> Arc<Self> {
@@ -113,6 +119,7 @@
             prefixes: prefixes.iter().map(|p| (*p).to_owned()).collect(),
             state: Mutex::default(),
             changed: watch::Sender::new(0),
+            regained: watch::Sender::new(None),
         })
     }
 
@@ -130,6 +137,11 @@
         self.changed.subscribe()
     }
 
+    /// Returns a receiver of when the store last confirmed the copy after an outage.
+    pub fn subscribe_regained(&self) -> watch::Receiver<Option<Instant>> {
+        self.regained.subscribe()
+    }
+
     /// Returns a key's value and revision, if the key exists.
     pub fn get(&self, key: &str) -> Option<(Bytes, Revision)> {
         let state = self.lock();
@@ -244,8 +256,21 @@
     /// request sent at `requested_at`.
     fn record_confirmation(&self, prefix: &str, requested_at: Instant, now: Instant) {
         let mut state = self.lock();
+        let previous = state.earliest(&self.prefixes, |p| p.requested_at);
         state.record_confirmation(prefix, Some(requested_at), Some(now));
         state.available_since.get_or_insert(now);
+        self.notify_if_regained(&state, previous, now);
+    }
+
+    /// Notifies the followers that wait for a change if the copy was confirmed for the first
+    /// time since an outage. `previous` is the former [`Self::complete_as_of`].
+    fn notify_if_regained(&self, state: &State, previous: Option<Instant>, now: Instant) {
+        let confirmed = state.earliest(&self.prefixes, |p| p.requested_at);
+        if let (Some(previous), Some(confirmed)) = (previous, confirmed)
+            && confirmed.saturating_duration_since(previous) >= OUTAGE_AGE
+        {
+            self.regained.send_replace(Some(now));
+        }
     }
 
     /// Records that the store failed to answer.
@@ -328,6 +353,7 @@
             state.neighbours = update.neighbours;
         }
         if let Some(age) = update.age_ms {
+            let previous = state.earliest(&self.prefixes, |p| p.requested_at);
             let confirmed_at = now.checked_sub(Duration::from_millis(age));
             // The reply may have waited unread while this process was suspended, so the time
             // counts from sending the request.
@@ -335,6 +361,7 @@
             for prefix in &self.prefixes {
                 state.record_confirmation(prefix, requested_at, confirmed_at);
             }
+            self.notify_if_regained(&state, previous, now);
             state.available_since = now.checked_sub(Duration::from_millis(update.steady_ms));
         }
         self.notify(state, changed);
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -44,6 +44,30 @@
     /// Longest delay between failed calls while the need is low. The delay for a high need
     /// applies if it is longer.
     pub low_need_max_delay: Duration,
+    /// When to call after a reply without changes; `None` to call again at once and wait as long
+    /// as the store permits.
+    pub pacing: Option<Pacing>,
+}
+
+/// Intervals of the calls of a watch. The age of a copy counts from when a call was sent, so a
+/// short call and a pause give a younger copy than one long call, for the same number of calls.
+/// A change during the pause is received at its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Pacing {
+    /// How long a call waits for changes.
+    pub max_wait: Duration,
+    /// Pause after a call that returned no changes, or changes that it did not wait for.
+    pub pause: Duration,
+}
+
+impl Pacing {
+    /// Returns the pause after a call that took `elapsed`.
+    fn pause_after(self, elapsed: Duration, changed: bool) -> Option<Duration> {
+        // A change from the pause before returns after the latency of the store, which is much
+        // shorter.
+        let waited = elapsed > self.max_wait / 4;
+        (!changed || !waited).then_some(self.pause)
+    }
 }
 
 /// When to call again after failed calls.
@@ -164,6 +188,10 @@
         ReadStart::Compacted => return Err(Error::Compacted),
     };
     mirror.record_confirmation(prefix, requested_at, now);
+    let pacing = retry.timing.pacing;
+    if let Some(pacing) = pacing {
+        watch.set_max_wait(pacing.max_wait);
+    }
     tracing::info!(
         event = "platform_regained",
         prefix,
@@ -179,8 +207,11 @@
         let changed = !events.is_empty();
         mirror.apply_watched(prefix, events.into_iter().map(to_item).collect(), now);
         mirror.record_confirmation(prefix, requested_at, now);
-        if changed {
-            tokio::time::sleep(BATCH_DELAY).await;
+        let pause = pacing.and_then(|p| p.pause_after(now - requested_at, changed));
+        match pause {
+            Some(pause) => tokio::time::sleep(pause).await,
+            None if changed => tokio::time::sleep(BATCH_DELAY).await,
+            None => {}
         }
     }
     tracing::info!(event = "platform_left", prefix);
