Programs beyond their plan are admitted while half of the allowance is unused

Cause: a turn of a program with 8 turns was refused although its account had used 40 of 180 requests, because the plans of others filled the limit. Plans are estimates; below half of the limit nobody gains from such a refusal.

--- a/crates/gradedyke-policy/src/allowance.rs
+++ b/crates/gradedyke-policy/src/allowance.rs
@@ -47,6 +47,9 @@
 /// Share of the limit that is not available to a program far beyond its plan, so that other
 /// programs can begin. The rest lets a program that is long without looping go on.
 const LEFTOVER_RESERVE_RATIO: f64 = 0.3;
+/// Share of the limit up to which requests that ran leave room for any program. Plans are
+/// estimates, and a turn refused at less than half of the limit would be lost for nobody's good.
+const UNCONTESTED_RATIO: f64 = 0.5;
 
 /// Maximum number of requests of an account that are admitted in a window.
 ///
@@ -125,14 +128,15 @@
     /// Whether a turn beyond its program's plan is admitted, given a sum that includes it: only
     /// out of what the planned requests and the requests that ran leave. If `next_program` is
     /// given, what the next program is expected to need and a share of the limit are not
-    /// available to it.
+    /// available to it. Below [`UNCONTESTED_RATIO`] of the limit any turn is admitted.
     pub fn is_within_leftover(&self, sum: Total, next_program: Option<u32>) -> bool {
         let limit = f64::from(self.limit);
         let reserve = next_program.map_or(0.0, |needed| {
             f64::from(needed).max(limit * LEFTOVER_RESERVE_RATIO)
         });
-        let used = sum.requests.max(sum.planned.saturating_add(1));
-        f64::from(used) <= limit - reserve
+        let ran = f64::from(sum.requests);
+        let used = ran.max(f64::from(sum.planned) + 1.0);
+        ran <= limit * UNCONTESTED_RATIO || used <= limit - reserve
     }
 
     /// Time until enough of `used`, a sum without this request, has left the window for the
