Admission and urgency of programs while engines are full

Cause: in a burst nothing was refused and most programs were late; admission looked only at the keepers, and engines got the rank of account and route alone.

Change: while the engines of a service have more requests in flight than slots, programs begin at the rate at which others end, higher ranks first; the others are refused at once (service_full) with a place in a schedule, and those who return go before newcomers. Programs that can still end in time get the more urgent of two classes of their rank. No message changes its encoding.

--- a/crates/gradedyke-gateway/src/config.rs
+++ b/crates/gradedyke-gateway/src/config.rs
@@ -9,6 +9,9 @@
 
 use gradedyke_policy::account::Directory;
 
+/// Number of urgency classes that engines tell apart.
+const URGENCY_CLASS_COUNT: u8 = 10;
+
 /// Whether requests of a route may run more than once, and whether their responses are streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -118,6 +121,8 @@
     pub version: u64,
     /// Number of route priorities, which are `0..priority_count`.
     priority_count: u8,
+    /// Number of combined priorities of accounts and routes.
+    rank_count: u8,
     /// The routes by host, those with the longest prefix first.
     routes: HashMap<String, Vec<Arc<Route>>>,
     /// The services by name.
@@ -138,6 +143,9 @@
         accounts: Option<Directory>,
     ) -> Self {
         let priority_count = routes.iter().map(|r| r.priority.saturating_add(1)).max();
+        let priority_count = priority_count.unwrap_or(1);
+        let max_account_priority = accounts.as_ref().map_or(0, Directory::max_priority);
+        let rank_count = priority_count.saturating_mul(max_account_priority.saturating_add(1));
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -149,7 +157,8 @@
         let by_name = |s: Service| (s.name.clone(), s);
         Self {
             version,
-            priority_count: priority_count.unwrap_or(1),
+            priority_count,
+            rank_count,
             routes: by_host,
             services: services.into_iter().map(by_name).collect(),
             limits,
@@ -171,6 +180,11 @@
         priority(account, route.priority, self.priority_count)
     }
 
+    /// The urgency of a request of this [priority](Self::priority) at an engine; see [`urgency`].
+    pub fn urgency(&self, priority: u8, is_late: bool) -> u8 {
+        urgency(priority, self.rank_count, is_late)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -200,6 +214,22 @@
         .saturating_add(route_priority)
 }
 
+/// The urgency of a request at an engine, of a priority in `0..rank_count`; 0 is the highest. If
+/// each priority fits twice, it has two classes, the second one for programs that are late.
+///
+/// ```
+/// use gradedyke_gateway::config::urgency;
+///
+/// assert_eq!([urgency(2, 5, false), urgency(2, 5, true)], [4, 5]);
+/// assert_eq!([urgency(2, 6, false), urgency(2, 6, true)], [2, 2]);
+/// ```
+pub fn urgency(priority: u8, rank_count: u8, is_late: bool) -> u8 {
+    if u16::from(rank_count) * 2 > u16::from(URGENCY_CLASS_COUNT) {
+        return priority;
+    }
+    priority.saturating_mul(2).saturating_add(u8::from(is_late))
+}
+
 impl Route {
     /// Whether a request may run more than once.
     pub fn is_repeatable(&self) -> bool {
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -67,7 +67,11 @@
 
 /// The servers that a request was sent to. Shared by attempts that run in parallel.
 #[derive(Debug, Default)]
-pub struct Attempts(Mutex<State>);
+pub struct Attempts {
+    state: Mutex<State>,
+    /// Whether the program can no longer end in time.
+    is_late: bool,
+}
 
 #[derive(Debug, Default)]
 struct State {
@@ -85,8 +89,17 @@
 }
 
 impl Attempts {
+    /// Creates the state of a request that was sent to no server yet. `is_late` says whether its
+    /// program can no longer end in time.
+    pub fn new(is_late: bool) -> Self {
+        Self {
+            state: Mutex::default(),
+            is_late,
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether another server may be tried.
@@ -171,7 +184,7 @@
     let outbound = Outbound {
         server: &choice.id,
         time_left,
-        priority: engine_priority(entry, call),
+        priority: engine_priority(entry, call, attempts.is_late),
         account: call.account.as_deref(),
         last_event_id,
     };
@@ -204,10 +217,18 @@
 
 /// Returns the priority that is sent to an engine; 0 is the highest. `None` if the service runs no
 /// models or the mechanism is switched off.
-fn engine_priority(entry: &Entry, call: &Call) -> Option<u8> {
-    let has_priority = call.engine().is_some() && entry.mechanisms.is_enabled(Mechanism::Urgency);
-    let account = call.account.as_ref().and_then(|a| a.priority);
-    has_priority.then(|| call.config.priority(account, &call.route))
+fn engine_priority(entry: &Entry, call: &Call, is_late: bool) -> Option<u8> {
+    if call.engine().is_none() || !entry.mechanisms.is_enabled(Mechanism::Urgency) {
+        return None;
+    }
+    let priority = call.priority();
+    // One scale for all requests, also those without a deadline, so that no rank passes another.
+    let by_slack =
+        entry.mechanisms.is_enabled(Mechanism::SlackUrgency) && entry.progress.has_deadlines();
+    Some(match by_slack {
+        true => call.config.urgency(priority, is_late),
+        false => priority,
+    })
 }
 
 /// Result of waiting for the head of a response.
--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -65,6 +65,18 @@
         route.retention.is_some() && meta.parent.is_none()
     }
 
+    /// Returns the combined priority of account and route; 0 is the highest.
+    pub fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|a| a.priority);
+        self.config.priority(account, &self.route)
+    }
+
+    /// Returns the time left until the program should be over; `None` if the caller stated none.
+    pub fn program_time_left(&self, now: Instant) -> Option<Duration> {
+        let elapsed = now.saturating_duration_since(self.arrived);
+        Some(self.meta.program_deadline?.saturating_sub(elapsed))
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`call`]: a request that was read and routed.
 //! - `admission`: checks a request against the allowance of its client account.
+//! - `capacity`: admission of programs while the servers of a service are full.
 //! - [`attempt`]: sends a request to backend servers.
 //! - [`plain`]: requests whose response is buffered.
 //! - [`turn`]: requests whose response is streamed, and turns of conversations. `upstream`
@@ -14,6 +15,7 @@
 pub mod attempt;
 mod budget;
 pub mod call;
+mod capacity;
 mod door;
 pub mod plain;
 pub mod refusal;
@@ -40,10 +42,12 @@
 use call::Call;
 use door::RefusedRequest;
 use gradedyke_policy::account::{Account, Directory};
+use gradedyke_policy::admission::Admission;
 use gradedyke_policy::allowance::Limiter;
 use gradedyke_policy::demand::Demand;
 use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
 use gradedyke_policy::outage::History;
+use gradedyke_policy::progress::Progress;
 use gradedyke_policy::throttle::Throttle;
 use refusal::Refusal;
 
@@ -95,6 +99,10 @@
     pub throttle: Throttle,
     /// Outages of the platform's key-value store that this entry has observed.
     pub outages: History,
+    /// Limits how many programs begin while the servers of a service are full.
+    pub admission: Admission,
+    /// Estimates what a program still needs.
+    pub progress: Progress,
     /// The optional mechanisms that are switched on in the settings.
     pub mechanisms: Mechanisms,
     /// Cancelled when the process begins its graceful shutdown.
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -35,6 +35,9 @@
     /// The request may begin a program, and the throttle does not admit it because the keepers
     /// are overloaded.
     Throttled,
+    /// The request begins a program, and the servers of its service are full; with the time after
+    /// which there is room for it. It has not run.
+    ServiceFull(Duration),
     /// The turn that the request continues does not exist.
     TurnNotFound,
     /// The token budget of the program is used up.
@@ -70,6 +73,7 @@
             Refusal::NoCapacity => "full",
             Refusal::NoKeepers => "no_keepers",
             Refusal::Throttled => "overload",
+            Refusal::ServiceFull(_) => "service_full",
             Refusal::TurnNotFound => "no_turn",
             Refusal::BudgetExceeded => "spent",
             Refusal::TooLate => "too_late",
@@ -99,6 +103,7 @@
             | Refusal::NoCapacity
             | Refusal::NoKeepers
             | Refusal::Throttled
+            | Refusal::ServiceFull(_)
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -119,6 +124,10 @@
     /// assert_eq!(Refusal::BudgetExceeded.retry_after(second, 0.5), None);
     /// ```
     pub fn retry_after(self, expected_wait: Duration, random: f64) -> Option<Duration> {
+        // Each caller has a time of its own, which a random factor would only change.
+        if let Refusal::ServiceFull(wait) = self {
+            return Some(wait);
+        }
         let jitter = match self {
             Refusal::StaleData if !expected_wait.is_zero() => outage::JITTER,
             _ => RETRY_AFTER_JITTER,
@@ -158,6 +167,9 @@
             Refusal::Throttled => {
                 "no program can begin now, others under way go first; come back soon"
             }
+            Refusal::ServiceFull(_) => {
+                "no program can begin now, the backend servers are full; come back then"
+            }
             Refusal::TurnNotFound => "there is no such turn; start a new conversation",
             Refusal::BudgetExceeded => "the program's budget is spent; end it",
             Refusal::TooLate => "the time was over before the request could be sent",
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -139,6 +139,9 @@
         match end {
             End::Complete => {
                 self.report_timings();
+                if status.is_success() {
+                    self.entry.record_turn_end(&self.call, now);
+                }
                 if !status.is_success() {
                     // An error response generated no tokens.
                     self.reservation.settle(&self.entry, 0);
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -38,12 +38,12 @@
 /// The [`Refusal`] that is sent to the caller as an error response. Nothing has been sent to
 /// the caller before.
 pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
-    let (transcript, reservation) = begin_turn(entry, &call).await?;
+    let (transcript, reservation, is_late) = begin_turn(entry, &call).await?;
     let body = match &transcript {
         Some(transcript) => concat(&transcript.body, &call.body),
         None => call.body.clone(),
     };
-    let upstream = StreamRequest::new(transcript, body);
+    let upstream = StreamRequest::new(transcript, body, is_late);
     let response = match upstream.open(entry, &call, None).await {
         Ok(response) => response,
         Err(refusal) => {
@@ -63,15 +63,16 @@
 }
 
 /// Reserves tokens in the program's budget and reads the conversation so far, in one exchange
-/// with the keepers.
+/// with the keepers. Also returns whether the program can no longer end in time.
 async fn begin_turn(
     entry: &Arc<Entry>,
     call: &Call,
-) -> Result<(Option<Transcript>, Reservation), Refusal> {
+) -> Result<(Option<Transcript>, Reservation, bool), Refusal> {
     let started = Instant::now();
     if !is_admitted(entry, call, started) {
         return Err(Refusal::Throttled);
     }
+    entry.admit_request(call, started)?;
     let budget_request = budget_request(call);
     let reservation = Reservation::new(budget_request.as_ref().map(|(r, _)| r.clone()));
     let parent = call.route.retention.and(call.meta.parent.as_ref());
@@ -107,8 +108,14 @@
                 reservation.settle(entry, 0);
                 return Err(Refusal::AllowanceExceeded);
             }
+            let now = Instant::now();
+            if let Err(refusal) = entry.admit_begun(call, begun.program_attempts, now) {
+                reservation.settle(entry, 0);
+                return Err(refusal);
+            }
             entry.record_demand(call, begun.program_attempts);
-            Ok((begun.transcript, reservation))
+            let is_late = entry.record_turn(call, begun.program_attempts, now);
+            Ok((begun.transcript, reservation, is_late))
         }
         Err(error) => {
             tracing::info!(event = "turn_refused", request = %call.id,
--- a/crates/gradedyke-gateway/src/entry/upstream.rs
+++ b/crates/gradedyke-gateway/src/entry/upstream.rs
@@ -20,12 +20,12 @@
 
 impl StreamRequest {
     /// Creates the request with this complete `body`. `transcript` is the stored conversation that
-    /// it continues.
-    pub(super) fn new(transcript: Option<Transcript>, body: Bytes) -> Self {
+    /// it continues, `is_late` whether its program can no longer end in time.
+    pub(super) fn new(transcript: Option<Transcript>, body: Bytes, is_late: bool) -> Self {
         Self {
             transcript,
             body,
-            attempts: Attempts::default(),
+            attempts: Attempts::new(is_late),
         }
     }
 
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -7,9 +7,11 @@
 //!
 //! `registry` indexes the servers, `server_state` holds the state of one, and `topology`
 //! maps data centres to regions. `sample` selects the servers to compare if there are
-//! very many, `prefix_owners` knows which engines own the shared parts of prompts, and
-//! [`slow_start`] limits the rate of those that are warming up.
+//! very many, `prefix_owners` knows which engines own the shared parts of prompts,
+//! `occupancy` sums the load of a service, and [`slow_start`] limits the rate of those that are
+//! warming up.
 
+mod occupancy;
 mod prefix_owners;
 mod registry;
 mod sample;
@@ -30,6 +32,7 @@
 
 use crate::dialect::Dialect;
 use crate::link::Pool;
+use gradedyke_policy::admission::Occupancy;
 use gradedyke_policy::estimate::{self, Times, Timing};
 use gradedyke_policy::health::Failure;
 use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
@@ -174,6 +177,7 @@
     /// Address at which this entry forwards requests for other entries.
     forwarding_address: Option<SocketAddr>,
     registry: Mutex<Registry>,
+    occupancies: Mutex<occupancy::Cache>,
 }
 
 impl Fleet {
@@ -192,6 +196,7 @@
             report_id: rand::random(),
             forwarding_address,
             registry: Mutex::default(),
+            occupancies: Mutex::default(),
         })
     }
 
@@ -346,6 +351,32 @@
         Duration::from_secs_f64(min_wait_ms.max(0.0) / 1e3)
     }
 
+    /// Requests in flight and slots of a service's usable servers, at most some ten ms old. `None`
+    /// if other entries' requests have never been known.
+    pub fn occupancy(&self, service: &str, now: Instant) -> Option<Occupancy> {
+        let mut occupancies = self
+            .occupancies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(recent) = occupancies.recent(service, now) {
+            return recent;
+        }
+        let registry = self.lock();
+        let received = registry.peer_load_received;
+        let has_peer_load =
+            received.is_some_and(|at| now.saturating_duration_since(at) <= PEER_LOAD_TTL);
+        let sums = registry.sum_load(service, now);
+        drop(registry);
+        occupancies.update(service, sums, has_peer_load, now)
+    }
+
+    /// The last [occupancy](Self::occupancy) that was asked for, if that was recently.
+    pub fn last_occupancy(&self, service: &str, now: Instant) -> Option<Occupancy> {
+        let occupancies = self.occupancies.lock();
+        let occupancies = occupancies.unwrap_or_else(PoisonError::into_inner);
+        occupancies.last_known(service, now)
+    }
+
     /// Returns this entry's requests in flight and recent failures, for other entries.
     pub fn load_report(&self, now: Instant) -> Report {
         Report {
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -9,6 +9,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+use super::occupancy;
 use super::prefix_owners::PrefixOwners;
 use super::sample::{self, RecentServers};
 use super::server_state::{DirectoryState, ServerState};
@@ -466,6 +467,22 @@
         }
     }
 
+    /// Requests in flight and slots of a service's usable servers.
+    pub(super) fn sum_load(&self, service: &str, now: Instant) -> occupancy::Sums {
+        let mut sums = occupancy::Sums::default();
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let states = keys.map(|key| &self.servers[*key]);
+        for state in states.filter(|s| s.is_usable(now)) {
+            if self.evacuated.contains(&state.server.data_centre) {
+                continue;
+            }
+            sums.own += state.in_flight;
+            sums.others += state.peer_load.requests;
+            sums.slots += state.server.slots;
+        }
+        sums
+    }
+
     /// The load of a service, over all entries whose load is known.
     fn service_load(&self, query: &Query<'_>, topology: &Topology) -> slow_start::ServiceLoad {
         let times = self.times(query.service, query.is_engine);
--- a/crates/gradedyke-gateway/src/fleet/server_state.rs
+++ b/crates/gradedyke-gateway/src/fleet/server_state.rs
@@ -250,6 +250,12 @@
         self.health.failure_rate(self.peer_health(), now)
     }
 
+    /// Whether the server gets requests now, apart from evacuations.
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        let has_left = self.server.is_draining || self.is_unreadable || self.is_replaced;
+        !has_left && self.directory_state == DirectoryState::Listed && !self.is_avoided(now)
+    }
+
     /// Whether the server is to be avoided while others are available.
     pub(super) fn is_avoided(&self, now: Instant) -> bool {
         self.health.is_backing_off(now) || self.peer_load.unreached >= MIN_UNREACHABLE_REPORTS
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -29,10 +29,12 @@
 use crate::fleet::Fleet;
 use crate::settings::Settings;
 use crate::{follow, meter};
+use gradedyke_policy::admission::Admission;
 use gradedyke_policy::allowance::Limiter;
 use gradedyke_policy::demand::Demand;
 use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
 use gradedyke_policy::outage::History;
+use gradedyke_policy::progress::Progress;
 use gradedyke_policy::throttle::Throttle;
 
 /// External dependencies of a process.
@@ -167,6 +169,8 @@
             demand: Demand::default(),
             throttle: Throttle::default(),
             outages: History::default(),
+            admission: Admission::default(),
+            progress: Progress::default(),
             mechanisms,
             drain: CancellationToken::new(),
             config_revision: Mutex::default(),
--- a/crates/gradedyke-policy/src/account.rs
+++ b/crates/gradedyke-policy/src/account.rs
@@ -99,6 +99,12 @@
         self.by_key.get(&key)
     }
 
+    /// The greatest number of a priority among the accounts; 0 if none has one.
+    pub fn max_priority(&self) -> u8 {
+        let priorities = self.by_key.values().filter_map(|a| a.priority);
+        priorities.max().unwrap_or(0)
+    }
+
     /// Number of keys.
     pub fn len(&self) -> usize {
         self.by_key.len()
--- a/crates/gradedyke-policy/src/lib.rs
+++ b/crates/gradedyke-policy/src/lib.rs
@@ -11,10 +11,13 @@
 //! - [`demand`]: expected number of requests of a program; [`plan`]: when it is expected to make
 //!   them; [`throttle`]: admission of new programs while keepers are overloaded.
 //! - [`outage`]: retry delays while the store does not confirm keys and configuration.
+//! - [`admission`]: admission of new programs while a service's servers are full; [`progress`]:
+//!   what a program still needs.
 //! - [`mechanism`]: mechanisms that can be switched off, to measure their effect.
 //! - [`window`]: sums over a sliding time window.
 
 pub mod account;
+pub mod admission;
 pub mod allowance;
 pub mod demand;
 pub mod estimate;
@@ -25,6 +28,7 @@
 pub mod placement;
 pub mod plan;
 pub mod prefix;
+pub mod progress;
 pub mod throttle;
 pub mod window;
 
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -106,8 +106,8 @@
     pub load: Option<Vec<ServerLoad>>,
     /// Total usage of the client account, if requested.
     pub usage: Option<Total>,
-    /// Number of the program's attempts that replicas know, including this one; 0 without a
-    /// budget.
+    /// Known attempts of the program, including this one, without those that certainly used no
+    /// tokens; 0 without a reservation.
     pub program_attempts: usize,
     /// Duration of the successful try, without the retries before it.
     pub elapsed: Duration,
--- a/crates/gradedyke-turns/src/quorum/gathered.rs
+++ b/crates/gradedyke-turns/src/quorum/gathered.rs
@@ -165,9 +165,11 @@
         }
     }
 
-    /// Number of known attempts of the program, including this one.
+    /// Number of attempts of the program that used tokens or may use them. An attempt that was
+    /// refused after it began is settled with 0 tokens and was no turn of the program.
     pub(super) fn program_attempts(&self) -> usize {
-        self.attempts.len()
+        let attempts = self.attempts.values();
+        attempts.filter(|a| a.tokens > 0 || !a.settled).count()
     }
 
     /// Checks that the budget has room for the reservation in addition to all other attempts.
