--- a/crates/gradedyke-policy/src/allowance.rs
+++ b/crates/gradedyke-policy/src/allowance.rs
@@ -128,7 +128,7 @@
     /// Whether a turn beyond its program's plan is admitted, given a sum that includes it: only
     /// out of what the planned requests and the requests that ran leave. If `next_program` is
     /// given, what the next program is expected to need and a share of the limit are not
-    /// available to it. Below [`UNCONTESTED_RATIO`] of the limit any turn is admitted.
+    /// available to it. Below `UNCONTESTED_RATIO` of the limit any turn is admitted.
     pub fn is_within_leftover(&self, sum: Total, next_program: Option<u32>) -> bool {
         let limit = f64::from(self.limit);
         let reserve = next_program.map_or(0.0, |needed| {
--- a/crates/gradedyke-policy/src/demand.rs
+++ b/crates/gradedyke-policy/src/demand.rs
@@ -171,7 +171,7 @@
     AsPlanned,
     /// Beyond that, as after many repetitions.
     Beyond,
-    /// Beyond [`OVERRUN_FACTOR`] times that: the program probably loops.
+    /// Beyond `OVERRUN_FACTOR` times that: the program probably loops.
     FarBeyond,
 }
 
--- a/crates/gradedyke-policy/src/owners.rs
+++ b/crates/gradedyke-policy/src/owners.rs
@@ -189,7 +189,7 @@
     /// Number of owners of a part among `engines` engines, each with a cache of
     /// `capacity_tokens`; `None` if the part is not a shared one in use.
     ///
-    /// All parts together get [`OWNED_CACHE_FRACTION`] of the caches in proportion to their
+    /// All parts together get `OWNED_CACHE_FRACTION` of the caches in proportion to their
     /// demand, but each at least the engines that its requests need.
     pub fn owner_count(&self, part: &Id, engines: usize, capacity_tokens: u64) -> Option<usize> {
         let demand = self.find(part)?;
