Plans of slow programs keep their later windows

A program with less than half a request per window had an empty plan, so it didn't count as beginning a program, and a window without requests ended the plan.

--- a/crates/gradedyke-policy/src/plan.rs
+++ b/crates/gradedyke-policy/src/plan.rs
@@ -49,7 +49,10 @@
         if windows == 0 || end_s >= duration_s {
             return self.requests * windows.min(1);
         }
-        (f64::from(self.requests) * end_s / duration_s).round() as u32
+        let requests = (f64::from(self.requests) * end_s / duration_s).round() as u32;
+        // The first window holds at least the first turn, by which a charge is known to begin a
+        // program.
+        requests.max(self.requests.min(1))
     }
 
     /// What the program needs within a window.
@@ -61,13 +64,16 @@
     /// let plan = Plan { requests: 30, duration: Duration::from_secs(6) };
     /// assert_eq!(plan.requests_in(Duration::from_secs(5)), 25);
     /// assert_eq!(plan.requests_in(Duration::from_secs(8)), 30);
+    /// // A slow program needs at least its first turn.
+    /// let plan = Plan { requests: 3, duration: Duration::from_secs(45) };
+    /// assert_eq!(plan.requests_in(Duration::from_secs(5)), 1);
     /// ```
     pub fn requests_in(&self, window: Duration) -> u32 {
         self.requests_before(1, window)
     }
 
-    /// The buckets in which a program that begins in the bucket `start` is entered. All but the
-    /// first are later and due when their time has come.
+    /// The buckets in which a program that begins in the bucket `start` is entered, without those
+    /// in which it needs nothing. All but the first are later and due when their time has come.
     ///
     /// ```
     /// use gradedyke_policy::plan::Plan;
@@ -76,6 +82,10 @@
     /// let plan = Plan { requests: 30, duration: Duration::from_secs(6) };
     /// let shares = plan.shares(7, Duration::from_secs(5));
     /// assert!(shares.map(|s| (s.bucket, s.requests)).eq([(7, 25), (27, 5)]));
+    /// // Windows without requests don't end the plan of a slow program.
+    /// let plan = Plan { requests: 3, duration: Duration::from_secs(30) };
+    /// let shares = plan.shares(0, Duration::from_secs(5));
+    /// assert!(shares.map(|s| (s.bucket, s.requests)).eq([(0, 1), (40, 1), (80, 1)]));
     /// ```
     pub fn shares(&self, start: u64, window: Duration) -> impl Iterator<Item = Share> + use<> {
         let plan = *self;
@@ -84,6 +94,6 @@
             requests: plan.requests_before(number + 1, window)
                 - plan.requests_before(number, window),
         });
-        shares.take_while(|share| share.requests > 0)
+        shares.filter(|share| share.requests > 0)
     }
 }
