--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -187,7 +187,8 @@
         };
         let now = Instant::now();
         let timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        let time_left = (arrived + timeout).saturating_duration_since(now);
+        // No instant is calculated from the timeout, which may be beyond the range of instants.
+        let time_left = timeout.saturating_sub(now.saturating_duration_since(arrived));
         let delay = self
             .outages
             .delay(confirmed_at, now, time_left, max_key_age);
