--- a/crates/gradedyke-policy/src/allowance.rs
+++ b/crates/gradedyke-policy/src/allowance.rs
@@ -48,7 +48,7 @@
 /// programs can begin. The rest lets a program that is long without looping go on.
 const LEFTOVER_RESERVE_RATIO: f64 = 0.3;
 /// Share of the limit up to which requests that ran leave room for any program. Plans are
-/// estimates, and a turn refused at less than half of the limit would be lost for nobody's good.
+/// estimates, and refusing a turn at less than half of the limit makes no room that others need.
 const UNCONTESTED_RATIO: f64 = 0.5;
 
 /// Maximum number of requests of an account that are admitted in a window.
