Turns whose programs' seconds aren't counted don't raise the learned rate

Turns of programs without a stated time, and of programs beyond the 512 that are followed, counted for the requests per second although their seconds did not, so that plans became too large and programs were refused within their account's allowance.

--- a/crates/gradedyke-gateway/src/entry/admission.rs
+++ b/crates/gradedyke-gateway/src/entry/admission.rs
@@ -40,12 +40,10 @@
         if !is_program_start {
             return Plan::default();
         }
-        let Some(expected) = meta.program_deadline else {
+        let is_enabled = self.mechanisms.is_enabled(Mechanism::ProgramPlan);
+        let Some(expected) = meta.program_deadline.filter(|_| is_enabled) else {
             return Plan::at_start(self.demand.expected_requests(&route.name, now));
         };
-        if !self.mechanisms.is_enabled(Mechanism::ProgramPlan) {
-            return Plan::at_start(self.demand.expected_requests(&route.name, now));
-        }
         let program = meta.program.as_ref().map(|p| account.scoped_id(p));
         if program.is_some_and(|program| self.demand.is_running(&program, now)) {
             return Plan::default();
@@ -194,8 +192,9 @@
             self.demand.progress(route, program, attempts, now) == Progress::FarBeyond
         });
         if !is_plan_enabled || !is_far_beyond {
+            let is_timed = call.meta.program_deadline.is_some();
             self.demand
-                .record_turn(route, program.as_ref(), is_program_start, now);
+                .record_turn(route, program.as_ref(), is_program_start, is_timed, now);
         }
     }
 
--- a/crates/gradedyke-policy/src/demand.rs
+++ b/crates/gradedyke-policy/src/demand.rs
@@ -35,7 +35,8 @@
 /// multiple of the time on idle servers (1.3 to 1.4 in known deployments) plus an objective.
 /// Taking a program for slower than it is spreads its requests too thinly over windows.
 const DURATION_RATIO: f64 = 0.75;
-/// Number of programs under way that are followed; more are not counted.
+/// Number of programs under way that are followed. The seconds of further ones count when they
+/// begin.
 const MAX_RUNNING: usize = 512;
 /// How many times its expected time a program is followed, to learn what late ones need and to
 /// recognise those that loop.
@@ -80,7 +81,7 @@
     timed: Counter,
     /// Time allowed to these programs, in seconds.
     timed_s: Counter,
-    /// Turns on this route since the first program with a known time.
+    /// Turns of programs with a known time on this route since the first of them began here.
     timed_turns: Counter,
     /// Turns and tool calls of programs that are followed.
     followed_turns: Counter,
@@ -184,12 +185,15 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records a turn. `is_program_start` says whether it is the first of its program.
+    /// Records a turn. `is_program_start` says whether it is the first of its program, `is_timed`
+    /// whether its caller states the program's time. Other turns don't count for the rate, since
+    /// the seconds of their programs aren't known.
     pub fn record_turn(
         &self,
         route: &str,
         program: Option<&Id>,
         is_program_start: bool,
+        is_timed: bool,
         now: Instant,
     ) {
         let mut counts = self.lock();
@@ -200,7 +204,7 @@
         if is_program_start {
             route.started.increment(COUNT_HALF_LIFE, now);
         }
-        if route.timed.value_at(COUNT_HALF_LIFE, now) > 0.0 {
+        if is_timed && route.timed.value_at(COUNT_HALF_LIFE, now) > 0.0 {
             route.timed_turns.increment(COUNT_HALF_LIFE, now);
         }
         if is_followed {
@@ -214,17 +218,24 @@
         let mut counts = self.lock();
         counts.retire(now);
         let key = program_hash(program);
-        if counts.running.contains_key(&key) || counts.running.len() >= MAX_RUNNING {
+        if counts.running.contains_key(&key) {
             return;
         }
         let expected_s = expected.as_secs_f64();
-        let running = Running {
-            route: route.to_owned(),
-            since: now,
-            expected_s,
-        };
-        counts.running.insert(key, running);
+        let is_followed = counts.running.len() < MAX_RUNNING;
+        if is_followed {
+            let running = Running {
+                route: route.to_owned(),
+                since: now,
+                expected_s,
+            };
+            counts.running.insert(key, running);
+        }
         let route = counts.route_mut(route);
+        if !is_followed {
+            // The program's turns are counted, so without its seconds the rate would be too high.
+            route.ended_s.add(expected_s, COUNT_HALF_LIFE, now);
+        }
         route.timed.increment(COUNT_HALF_LIFE, now);
         route.timed_s.add(expected_s, COUNT_HALF_LIFE, now);
     }
@@ -289,7 +300,8 @@
     /// The plan of a typical program of the route; `None` if there are too few observations.
     pub fn typical_plan(&self, route: &str, now: Instant) -> Option<Plan> {
         let mean_s = self.lock().routes.get(route)?.mean_s(now)?;
-        Some(self.plan(route, Duration::from_secs_f64(mean_s), now))
+        let mean = Duration::try_from_secs_f64(mean_s).ok()?;
+        Some(self.plan(route, mean, now))
     }
 
     /// Where a program stands that has had `turns`, all of its conversations and repetitions
@@ -344,7 +356,7 @@
     /// let demand = Demand::default();
     /// let program = gradedyke_turns::record::Id::parse("p").unwrap();
     /// for turn in 0..40 {
-    ///     demand.record_turn("draft", Some(&program), turn % 4 == 0, now);
+    ///     demand.record_turn("draft", Some(&program), turn % 4 == 0, false, now);
     ///     demand.record_tool_call(&program, now);
     /// }
     /// assert_eq!(demand.expected_requests("draft", now), 8);
--- a/crates/gradedyke-policy/tests/program_plan.rs
+++ b/crates/gradedyke-policy/tests/program_plan.rs
@@ -289,7 +289,7 @@
         if !program.is_turn() {
             demand.record_tool_call(&program.id, now);
         } else if self.progress(program, now) != Progress::FarBeyond {
-            demand.record_turn(route, Some(&program.id), is_start, now);
+            demand.record_turn(route, Some(&program.id), is_start, true, now);
         }
         let program = &mut self.programs[index];
         self.admitted_ms[program.account].push(ms);
