Owners: parts that begin a prompt are shared wherever first seen; lengths can't overflow

A part first seen behind another part stayed unshared until a second session used it. The sum of the lengths that callers state overflowed. An engine's removal from an order uses binary search.

--- a/crates/gradedyke-policy/src/owners.rs
+++ b/crates/gradedyke-policy/src/owners.rs
@@ -137,7 +137,7 @@
         if let Some(demand) = self.parts.iter_mut().find(|d| d.id == part.id) {
             demand.weight += 1.0;
             demand.tokens = demand.tokens.max(part.tokens);
-            demand.is_shared |= demand.first_session != *session;
+            demand.is_shared |= is_first || demand.first_session != *session;
             return;
         }
         if self.parts.len() >= MAX_PARTS {
@@ -166,8 +166,10 @@
 
     /// Number of shared parts in use, and their total length in tokens.
     pub fn shared_size(&self) -> (usize, u64) {
+        // Callers state the lengths, so the sum could overflow.
         let tokens = self.shared().map(|d| d.tokens);
-        (self.shared().count(), tokens.sum())
+        let total = tokens.fold(0, u64::saturating_add);
+        (self.shared().count(), total)
     }
 
     /// Whether the shared parts in use are too large for every engine to cache all of them
@@ -266,7 +268,7 @@
 }
 
 impl<K: Copy + Eq + std::hash::Hash> Orders<K> {
-    /// Adds an engine with the [`hash`] of its incarnation.
+    /// Adds a new engine with the [`hash`] of its incarnation.
     pub fn insert(&mut self, engine: K, engine_hash: u64) {
         self.engines.insert(engine, engine_hash);
         for order in self.by_part.values_mut() {
@@ -278,9 +280,18 @@
 
     /// Removes an engine.
     pub fn remove(&mut self, engine: K) {
-        self.engines.remove(&engine);
+        let Some(engine_hash) = self.engines.remove(&engine) else {
+            return;
+        };
         for order in self.by_part.values_mut() {
-            order.engines.retain(|(_, e)| *e != engine);
+            let score = score(order.part_hash, engine_hash, 1.0);
+            let first = order.engines.partition_point(|(s, _)| *s < score);
+            let offset = order.engines[first..]
+                .iter()
+                .position(|(_, e)| *e == engine);
+            if let Some(offset) = offset {
+                order.engines.remove(first + offset);
+            }
         }
     }
 
--- a/crates/gradedyke-policy/tests/owners.rs
+++ b/crates/gradedyke-policy/tests/owners.rs
@@ -101,6 +101,18 @@
     assert_eq!(demand.shared_size().0, 1);
 }
 
+/// Guards against a part that is not recognized as shared because it was first seen behind another
+/// part, and against an overflow of the lengths that callers state.
+#[test]
+fn part_that_begins_a_prompt_is_shared() {
+    let mut demand = Demand::default();
+    let (rules, talk) = (part("rules", u64::MAX), part("talk", 1));
+    demand.record(&[part("header", u64::MAX), rules.clone(), talk.clone()]);
+    assert_eq!(demand.shared_size().0, 1);
+    demand.record(&[rules, talk]);
+    assert_eq!(demand.shared_size(), (2, u64::MAX));
+}
+
 /// Guards against orders that become outdated as engines come and go.
 #[test]
 fn cached_orders_follow_the_set_of_engines() {
