Server pace: engines that get no requests don't prolong a difference

With more than a quarter of the engines evacuated or draining, the paces were told apart for as long as this lasted, because these engines counted as not observed.

--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -80,22 +80,22 @@
     }
 
     /// Whether the servers of a model service differ in pace. Compares at most
-    /// [`sample::MAX_UNSAMPLED_SERVERS`] of them, and only from time to time.
+    /// [`sample::MAX_UNSAMPLED_SERVERS`] of them, and only from time to time. Servers that get no
+    /// requests are left out, as they would count as servers that were not observed.
     pub(super) fn is_uneven(&mut self, service: &str, now: Instant) -> bool {
-        let monitor = match self.paces.get_mut(service) {
-            Some(monitor) => monitor,
-            None => self.paces.entry(service.to_owned()).or_default(),
-        };
+        let mut monitor = self.paces.get(service).copied().unwrap_or_default();
         if !monitor.is_due(now) {
             return monitor.is_uneven();
         }
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let stride = keys.len().div_ceil(sample::MAX_UNSAMPLED_SERVERS).max(1);
-        let sampled = keys.iter().step_by(stride);
-        let latencies = sampled.map(|key| self.servers[*key].latency_sum(now));
+        let sampled = keys.iter().step_by(stride).map(|key| &self.servers[*key]);
+        let usable = sampled.filter(|state| self.is_usable(state, now));
+        let latencies = usable.map(|state| state.latency_sum(now));
         let was_uneven = monitor.is_uneven();
         let spread = monitor.check(latencies, now);
         let is_uneven = monitor.is_uneven();
+        self.paces.insert(service.to_owned(), monitor);
         if is_uneven || was_uneven {
             for key in keys {
                 self.servers[*key].has_own_pace = is_uneven;
@@ -467,15 +467,17 @@
         }
     }
 
+    /// Whether a server gets requests now.
+    fn is_usable(&self, state: &ServerState, now: Instant) -> bool {
+        state.is_usable(now) && !self.evacuated.contains(&state.server.data_centre)
+    }
+
     /// Requests in flight and slots of a service's usable servers.
     pub(super) fn sum_load(&self, service: &str, now: Instant) -> occupancy::Sums {
         let mut sums = occupancy::Sums::default();
         let keys = self.by_service.get(service).into_iter().flatten();
         let states = keys.map(|key| &self.servers[*key]);
-        for state in states.filter(|s| s.is_usable(now)) {
-            if self.evacuated.contains(&state.server.data_centre) {
-                continue;
-            }
+        for state in states.filter(|s| self.is_usable(s, now)) {
             sums.own += state.in_flight;
             sums.others += state.peer_load.requests;
             sums.slots += state.server.slots;
