--- a/crates/gradedyke-gateway/src/fleet/server_state.rs
+++ b/crates/gradedyke-gateway/src/fleet/server_state.rs
@@ -67,9 +67,10 @@
     pub(super) health: Health,
     /// Recent latencies relative to those expected for the service.
     pub(super) latency: Window<LatencyRatioSum>,
-    /// The latest of these, for a server whose pace is told apart from others.
+    /// The same over a shorter time, so that a change of the server's pace is soon noticed.
     pub(super) recent_latency: Window<LatencyRatioSum>,
-    /// Whether it is told apart.
+    /// Whether the servers of its service differ in pace. Then `recent_latency` is used instead of
+    /// `latency`.
     pub(super) has_own_pace: bool,
     /// Estimated contents of its prompt cache, if it is an engine.
     pub(super) cache: Cache,
--- a/crates/gradedyke-policy/src/placement/pace.rs
+++ b/crates/gradedyke-policy/src/placement/pace.rs
@@ -19,8 +19,8 @@
 /// Number of observations from which a server is compared. Each one counts as much as the prior
 /// then.
 const MIN_OBSERVATIONS: u32 = 8;
-/// How often the servers of a service are compared. Latencies are summed over at least 3 s, so
-/// they change little in this time.
+/// How often the servers of a service are compared. The shortest window of latencies covers three
+/// times as long, so their sums change little in this time.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a difference is assumed to persist after it was last observed, so that a service near
 /// the limit doesn't alternate.
--- a/crates/gradedyke-policy/src/placement/spread.rs
+++ b/crates/gradedyke-policy/src/placement/spread.rs
@@ -3,10 +3,10 @@
 //! Entries that see the same figures would all choose the server with the lowest cost. Each entry
 //! therefore assumes that a random share of the other entries' requests that it hasn't seen yet
 //! precedes its own. Placed one after the other where they cost least, these raise the lowest
-//! costs to a common level, like water in a vessel. The request is then placed at this load, and
-//! among equal costs in proportion to the requests that a server takes until its cost rises. All
-//! entries together thus fill the servers evenly, and a request that one server suits better than
-//! the others, such as the next turn of a conversation, still goes there.
+//! costs to a common level (water-filling). The request is then placed at this load. Among equal
+//! costs, the probability of a server is inversely proportional to the increase of its cost with
+//! each request. All entries together thus load the servers evenly, and a request that one server
+//! suits better than the others, such as the next turn of a conversation, still goes there.
 
 /// The cost of a request at a server, in milliseconds.
 #[derive(Clone, Copy, Debug)]
