Only the first part of a prompt has owners; few servers don't make a service uneven

Cause: prompts list the former turns of their conversation as parts, and those counted as shared. Two observed servers of 48 were enough to tell paces apart.

Change: only the first part is shared, in the demand, the cache model and the ownership.

--- a/crates/gradedyke-gateway/src/fleet/prefix_owners.rs
+++ b/crates/gradedyke-gateway/src/fleet/prefix_owners.rs
@@ -97,28 +97,21 @@
 /// An engine among those that are compared.
 struct Engine {
     hash: u64,
-    /// Number of leading parts of the prompt that it owns.
-    owned_parts: usize,
-    /// Its score for the next part.
+    /// Its score for the first part of the prompt.
     score: f64,
-    /// Its score for the first part.
-    first_score: f64,
+    /// Whether it owns that part.
+    is_owner: bool,
 }
 
 impl Registry {
     /// Owners of a prompt's first part to be compared, if the engines are sampled: some that
-    /// differ with the request, or with the next shared part if there is one, and the one that
-    /// the session prefers.
+    /// differ with the request, and the one that the session prefers.
     pub(super) fn preselected_owners(&self, query: &Query<'_>) -> Vec<Key> {
         let Some(service) = self.owners.get(query.service).filter(|o| o.is_in_effect) else {
             return Vec::new();
         };
         let owners = service.first_part_owners(query);
-        let next_part = match query.parts {
-            [_, shared @ .., _] => shared.first(),
-            _ => None,
-        };
-        let seed = owners::hash(next_part.map_or(query.request_id, |part| &part.id));
+        let seed = owners::hash(query.request_id);
         let start = usize::try_from(seed % owners.len().max(1) as u64).unwrap_or_default();
         let sample = owners.iter().cycle().skip(start);
         let sample = sample.take(MAX_PRESELECTED_OWNERS.min(owners.len()));
@@ -127,54 +120,49 @@
         keys
     }
 
-    /// Lowers the uncached tokens of the `candidates`, which are the servers `keys`, by the
-    /// shared parts that they own. Returns the ownership of each.
+    /// Lowers the uncached tokens of the `candidates`, which are the servers `keys`, where they
+    /// own the first part of the prompt. Returns the ownership of each.
     pub(super) fn apply_owners(
         &self,
         query: &Query<'_>,
         keys: &[Key],
         candidates: &mut [Candidate],
     ) -> Vec<Ownership> {
-        let (Some(service), Some((last, shared))) =
-            (self.owners.get(query.service), query.parts.split_last())
+        let (Some(service), [first, .., last]) = (self.owners.get(query.service), query.parts)
         else {
             return Vec::new();
         };
         let new_engine = |key: &Key| Engine {
             hash: self.servers[*key].owner_hash,
-            owned_parts: 0,
             score: 0.0,
-            first_score: 0.0,
+            is_owner: false,
         };
         let mut engines: Vec<Engine> = keys.iter().map(new_engine).collect();
-        for index in 0..shared.len() {
-            service.assign(query, index, &mut engines, candidates);
-        }
-        let mut owners = owners_of_all(shared, &engines);
+        service.assign(query, first, &mut engines, candidates);
+        let mut owners: Vec<usize> = (0..engines.len())
+            .filter(|i| engines[*i].is_owner)
+            .collect();
         let owner_count = u32::try_from(owners.len()).unwrap_or(u32::MAX);
-        draw_owners(query, &mut owners, &engines, candidates);
+        draw_owners(query, first, &mut owners, &engines, candidates);
         let is_cached = |key: &Key| self.servers[*key].cache.contains(&last.id);
         let has_preferred =
             query.session.is_some() && query.cached_on.is_none() && !keys.iter().any(is_cached);
         let preferred = owners.first().copied().filter(|_| has_preferred);
         let engines = engines.iter().enumerate().zip(candidates);
         let ownership = engines.map(|((index, engine), candidate)| {
-            let is_owner = engine.owned_parts == shared.len();
-            // All entries expect the conversation at the engine that its session prefers.
-            let cached_parts = match owners.contains(&index) {
-                true if preferred == Some(index) => query.parts.len(),
-                true => shared.len(),
-                false if is_owner => 0,
-                false => engine.owned_parts,
-            };
-            if cached_parts > 0 {
+            if owners.contains(&index) {
+                // All entries expect the conversation at the engine that its session prefers.
+                let cached_parts = match preferred == Some(index) {
+                    true => query.parts.len(),
+                    false => 1,
+                };
                 let cache = &self.servers[keys[index]].cache;
                 let uncached = cache.uncached_tokens_after(query.parts, cached_parts);
                 candidate.uncached_tokens = candidate.uncached_tokens.min(uncached);
             }
             Ownership {
                 owners: owner_count,
-                is_owner,
+                is_owner: engine.is_owner,
                 is_session_owner: preferred == Some(index),
             }
         });
@@ -183,48 +171,36 @@
 }
 
 impl PrefixOwners {
-    /// Marks the engines that own the part `index` of the prompt. A part can only be reused
-    /// after all preceding ones, so its owners are among the owners of those.
+    /// Marks the engines that own the first part of a prompt.
     fn assign(
         &self,
         query: &Query<'_>,
-        index: usize,
+        first: &Part,
         engines: &mut [Engine],
         candidates: &[Candidate],
     ) {
-        let (part, capacity) = (&query.parts[index], query.cache_capacity_tokens);
-        let is_sampled = self.orders.len() > MAX_UNSAMPLED_SERVERS;
-        let engine_count = if is_sampled {
-            self.orders.len()
-        } else {
-            engines.len()
-        };
-        let Some(part_hash) = self.demand.part_hash(&part.id) else {
+        let Some(part_hash) = self.demand.part_hash(&first.id) else {
             return;
         };
-        for engine in engines.iter_mut().filter(|e| e.owned_parts == index) {
+        for engine in engines.iter_mut() {
             engine.score = owners::score(part_hash, engine.hash, 1.0);
-            if index == 0 {
-                engine.first_score = engine.score;
-            }
         }
-        let max_score = if is_sampled && index == 0 {
-            self.first_part_owners(query)
-                .last()
-                .map(|(score, _)| *score)
+        let max_score = if self.orders.len() > MAX_UNSAMPLED_SERVERS {
+            let owners = self.first_part_owners(query);
+            owners.last().map(|(score, _)| *score)
         } else {
-            let eligible = engines.iter().zip(candidates);
-            let eligible = eligible.filter(|(engine, _)| engine.owned_parts == index);
-            let scores = eligible.map(|(e, c)| (e.score, has_room(c, part)));
+            let engines = engines.iter().zip(candidates);
+            let scores = engines.map(|(e, c)| (e.score, has_room(c, first)));
             let mut scores: Vec<(f64, bool)> = scores.collect();
-            let count = self.demand.owner_count(&part.id, engine_count, capacity);
+            let capacity = query.cache_capacity_tokens;
+            let count = self.demand.owner_count(&first.id, scores.len(), capacity);
             owners::max_owner_score(&mut scores, count.unwrap_or_default())
         };
         let Some(max_score) = max_score else {
             return;
         };
-        for engine in engines.iter_mut().filter(|e| e.owned_parts == index) {
-            engine.owned_parts += usize::from(engine.score <= max_score);
+        for engine in engines {
+            engine.is_owner = engine.score <= max_score;
         }
     }
 }
@@ -252,25 +228,19 @@
     first.map(|(_, key)| key)
 }
 
-/// Indices of the engines that own all shared parts of a prompt.
-fn owners_of_all(shared: &[Part], engines: &[Engine]) -> Vec<usize> {
-    let owns_all = |index: &usize| engines[*index].owned_parts == shared.len();
-    (0..engines.len()).filter(owns_all).collect()
-}
-
 /// Orders `owners` by the session of a request, or else by the request, those with room first,
 /// and keeps [`MAX_COMPARED_OWNERS`] of them, unless all engines are owners.
 fn draw_owners(
     query: &Query<'_>,
+    first: &Part,
     owners: &mut Vec<usize>,
     engines: &[Engine],
     candidates: &[Candidate],
 ) {
     let seed = owners::hash(query.session.unwrap_or(query.request_id));
-    let last_shared = &query.parts[query.parts.len().saturating_sub(2)];
     owners.sort_by_cached_key(|index| {
-        let is_full = !has_room(&candidates[*index], last_shared);
-        let score = draw_score(seed, engines[*index].first_score);
+        let is_full = !has_room(&candidates[*index], first);
+        let score = draw_score(seed, engines[*index].score);
         // Positive numbers have the order of their bits.
         (is_full, score.to_bits())
     });
--- a/crates/gradedyke-policy/src/owners.rs
+++ b/crates/gradedyke-policy/src/owners.rs
@@ -85,10 +85,6 @@
     tokens: u64,
     /// Decaying number of requests.
     weight: f64,
-    /// ID of the last part of the first prompt that contained it.
-    first_session: Id,
-    /// Whether it occurred in prompts of several sessions, or begins prompts.
-    is_shared: bool,
 }
 
 /// The recent demand for shared parts of prompts, as one entry sees it.
@@ -118,9 +114,10 @@
 }
 
 impl Demand {
-    /// Records a request. All parts of its prompt but the last may be shared.
+    /// Records a request. The first part of its prompt may be shared if others follow. Later
+    /// parts count as the conversation's own: a prompt may list its former turns one by one.
     pub fn record(&mut self, prompt: &[Part]) {
-        let Some((last, shared)) = prompt.split_last() else {
+        let [first, _, ..] = prompt else {
             return;
         };
         self.requests = self.requests * DECAY_FACTOR + 1.0;
@@ -128,16 +125,13 @@
             demand.weight *= DECAY_FACTOR;
         }
         self.parts.retain(|d| d.weight >= MIN_WEIGHT);
-        for (index, part) in shared.iter().enumerate() {
-            self.record_part(part, &last.id, index == 0);
-        }
+        self.record_part(first);
     }
 
-    fn record_part(&mut self, part: &Part, session: &Id, is_first: bool) {
+    fn record_part(&mut self, part: &Part) {
         if let Some(demand) = self.parts.iter_mut().find(|d| d.id == part.id) {
             demand.weight += 1.0;
             demand.tokens = demand.tokens.max(part.tokens);
-            demand.is_shared |= is_first || demand.first_session != *session;
             return;
         }
         if self.parts.len() >= MAX_PARTS {
@@ -148,8 +142,6 @@
             hash: hash(&part.id),
             tokens: part.tokens,
             weight: 1.0,
-            first_session: session.clone(),
-            is_shared: is_first,
         });
     }
 
@@ -160,16 +152,12 @@
         }
     }
 
-    fn shared(&self) -> impl Iterator<Item = &PartDemand> {
-        self.parts.iter().filter(|d| d.is_shared)
-    }
-
     /// Number of shared parts in use, and their total length in tokens.
     pub fn shared_size(&self) -> (usize, u64) {
         // Callers state the lengths, so the sum could overflow.
-        let tokens = self.shared().map(|d| d.tokens);
+        let tokens = self.parts.iter().map(|d| d.tokens);
         let total = tokens.fold(0, u64::saturating_add);
-        (self.shared().count(), total)
+        (self.parts.len(), total)
     }
 
     /// Whether the shared parts in use are too large for every engine to cache all of them
@@ -185,7 +173,7 @@
     }
 
     fn find(&self, part: &Id) -> Option<&PartDemand> {
-        self.shared().find(|d| d.id == *part)
+        self.parts.iter().find(|d| d.id == *part)
     }
 
     /// Number of owners of a part among `engines` engines, each with a cache of
@@ -198,7 +186,7 @@
         let engines = engines as f64;
         let owned_tokens = engines * capacity_tokens as f64 * OWNED_CACHE_FRACTION;
         let weight = |d: &PartDemand| d.weight + PRIOR_REQUESTS;
-        let demanded_tokens: f64 = self.shared().map(|d| weight(d) * d.tokens as f64).sum();
+        let demanded_tokens: f64 = self.parts.iter().map(|d| weight(d) * d.tokens as f64).sum();
         let by_memory = owned_tokens * weight(demand) / demanded_tokens.max(1.0);
         let busy_engines = engines * demand.weight / (self.requests + PRIOR_REQUESTS);
         let by_demand = busy_engines * OWNERS_PER_BUSY_ENGINE;
--- a/crates/gradedyke-policy/src/placement/pace.rs
+++ b/crates/gradedyke-policy/src/placement/pace.rs
@@ -25,8 +25,8 @@
 /// How long a difference is assumed to persist after it was last observed, so that a service near
 /// the limit doesn't alternate.
 const HOLD_TIME: Duration = Duration::from_secs(10);
-/// Share of the servers that have to be observed to find that they no longer differ. While the
-/// fast ones can run all requests, the slow ones get hardly any.
+/// Share of the servers that have to be observed to find that they differ, or that they no longer
+/// do. While the fast ones can run all requests, the slow ones get hardly any.
 const MIN_OBSERVED_RATIO: f64 = 0.75;
 /// Typical age of the load of other entries when a reply with it arrives: an entry reports with
 /// each turn that it begins.
@@ -120,7 +120,7 @@
         ratios.sort_unstable_by(f64::total_cmp);
         let is_representative = ratios.len() as f64 >= MIN_OBSERVED_RATIO * f64::from(servers);
         let ratio = spread_ratio(&ratios);
-        let differs = ratio.is_some_and(|ratio| ratio >= MIN_SPREAD_RATIO);
+        let differs = is_representative && ratio.is_some_and(|ratio| ratio >= MIN_SPREAD_RATIO);
         if differs || (self.is_uneven && !is_representative) {
             self.last_seen = Some(now);
         }
@@ -135,9 +135,13 @@
     }
 }
 
-/// Ratio between the slower and the faster ones of the sorted `ratios`.
+/// Ratio between the slower and the faster ones of the sorted `ratios`; `None` for so few that
+/// only the extremes could be compared.
 fn spread_ratio(ratios: &[f64]) -> Option<f64> {
     let trimmed = ratios.len() / TRIMMED_ONE_IN;
+    if trimmed == 0 {
+        return None;
+    }
     let fast = ratios.get(trimmed)?;
     let slow = ratios.get(ratios.len() - 1 - trimmed)?;
     Some(slow / fast)
--- a/crates/gradedyke-policy/src/prefix.rs
+++ b/crates/gradedyke-policy/src/prefix.rs
@@ -92,8 +92,8 @@
     }
 
     /// Like [`record_prompt`](Self::record_prompt), for `capacity` tokens that are only a share
-    /// of the cache, because other entries use it too. All entries share one copy of the parts
-    /// of a prompt before the last, so these parts count with the factor `shared_weight`.
+    /// of the cache, because other entries use it too. All entries share one copy of the
+    /// first part of a prompt if others follow, so it counts with the factor `shared_weight`.
     ///
     /// ```
     /// use gradedyke_policy::prefix::{Cache, Part};
@@ -118,7 +118,7 @@
         let last = prompt.len().saturating_sub(1);
         for (index, part) in prompt.iter().enumerate() {
             let extra_tokens = if index == last { response_tokens } else { 0 };
-            self.insert(part, extra_tokens, index != last);
+            self.insert(part, extra_tokens, index == 0 && last > 0);
         }
         let exceeds_capacity = |cache: &Self| {
             let shared_tokens = (cache.shared_tokens as f64 * shared_weight) as u64;
--- a/crates/gradedyke-policy/tests/pace.rs
+++ b/crates/gradedyke-policy/tests/pace.rs
@@ -50,3 +50,15 @@
         assert_eq!(monitor.is_uneven(), expected, "{second}");
     }
 }
+
+/// Guards against an effect where one or two servers seem different by chance, or where too few
+/// are known.
+#[test]
+fn few_observed_servers_do_not_make_a_service_uneven() {
+    let now = Instant::now();
+    let mut monitor = Monitor::default();
+    monitor.check(latencies(0.55, false), now);
+    assert!(!monitor.is_uneven());
+    monitor.check(latencies(0.55, true).skip(2).take(6), now);
+    assert!(!monitor.is_uneven());
+}
