Callers of a higher rank get a place in a full schedule

A schedule filled by callers of a low rank gave none to others. Decisions that take the lock out of order no longer accrue the same time twice. The number of programs that may begin is called permits.

--- a/crates/gradedyke-policy/src/admission.rs
+++ b/crates/gradedyke-policy/src/admission.rs
@@ -39,11 +39,11 @@
 /// Programs per second that may begin at an entry where hardly any turn has ended yet. In the
 /// simulation with 800 entries, 0.5 let begin more programs than end.
 const MIN_PROGRAMS_PER_S: f64 = 0.1;
-/// Lowest number of rooms: callers that may not be refused again are admitted without room, and a
-/// large debt would refuse others long after there is room again.
-const MIN_ROOMS: f64 = -1.0;
-/// Part of a room that may be missing when a caller returns, for rounding and a changed rate.
-const ROOM_TOLERANCE: f64 = 0.1;
+/// Lowest number of permits: callers that may not be refused again are admitted without one, and
+/// a large deficit would refuse others long after there is room again.
+const MIN_PERMITS: f64 = -1.0;
+/// Part of a permit that may be missing when a caller returns, for rounding and a changed rate.
+const PERMIT_TOLERANCE: f64 = 0.1;
 /// Maximum number of places in the schedule of a service.
 const MAX_PLACES: usize = 256;
 /// How long a place is kept after the time at which its caller was told to return.
@@ -135,7 +135,7 @@
     /// Newcomers that arrived while programs were limited.
     arrived: Counter,
     /// Programs that may begin now.
-    rooms: f64,
+    permits: f64,
     updated: Option<Instant>,
     last_full: Option<Instant>,
     places: Vec<Place>,
@@ -161,15 +161,16 @@
         per_s(&self.arrived, now) < EASING_RATIO * rate && occupancy.rate_factor() > 0.0
     }
 
-    /// Adds the room that became free at `rate` since the last decision. Room that nobody waits
-    /// for is not saved up.
+    /// Adds the permits that accrued at `rate` since the last decision, at most one more than
+    /// there are places.
     fn accrue(&mut self, rate: f64, now: Instant) {
         let elapsed = self
             .updated
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.updated = Some(now);
-        let max_rooms = self.places.len() as f64 + 1.0;
-        self.rooms = (self.rooms + rate * elapsed.as_secs_f64()).min(max_rooms);
+        // Threads may decide in another order than they read the time.
+        self.updated = self.updated.max(Some(now));
+        let max_permits = self.places.len() as f64 + 1.0;
+        self.permits = (self.permits + rate * elapsed.as_secs_f64()).min(max_permits);
     }
 
     fn remove_place(&mut self, program: Option<&Id>) -> Option<Place> {
@@ -179,6 +180,20 @@
         Some(self.places.swap_remove(index))
     }
 
+    /// Adds a place. Where there are too many, the last in order is dropped, so that callers of
+    /// low rank don't deny those of a higher one a place.
+    fn add_place(&mut self, place: Place) {
+        self.places.push(place);
+        if self.places.len() <= MAX_PLACES {
+            return;
+        }
+        let places = self.places.iter().enumerate();
+        let last = places.max_by_key(|(_, place)| place.order);
+        if let Some(index) = last.map(|(index, _)| index) {
+            self.places.swap_remove(index);
+        }
+    }
+
     fn places_before(&self, order: Order) -> usize {
         self.places.iter().filter(|p| p.order < order).count()
     }
@@ -195,7 +210,7 @@
     /// Whether programs are limited now.
     fn is_limited(&mut self, occupancy: Occupancy, now: Instant) -> bool {
         if occupancy.is_full() {
-            self.last_full = Some(now);
+            self.last_full = self.last_full.max(Some(now));
         }
         let since = self.last_full.map(|at| now.saturating_duration_since(at));
         since.is_some_and(|since| since < FULL_HOLD)
@@ -203,7 +218,7 @@
 
     /// Time until there is room for a request with this many places before it.
     fn wait(&self, before: usize, rate: f64) -> Duration {
-        let missing = (before as f64 + 1.0 - self.rooms).max(0.0);
+        let missing = (before as f64 + 1.0 - self.permits).max(0.0);
         Duration::from_secs_f64(missing / rate)
     }
 
@@ -227,7 +242,8 @@
         self.arrivals += 1;
         let is_late = beginning.slack.is_none();
         let order = match &place {
-            // A returning caller keeps its turn, and its class if it is about to lose that.
+            // A returning caller keeps its arrival number, and its class if the program has
+            // become late since.
             Some(place) => (beginning.rank, place.order.1 && is_late, place.order.2),
             None => (beginning.rank, is_late, self.arrivals),
         };
@@ -241,8 +257,8 @@
             self.arrived.increment(COUNT_HALF_LIFE, now);
         }
         let can_begin = was_passed || self.is_easing(occupancy, rate, now);
-        if can_begin && !is_late || self.rooms + ROOM_TOLERANCE >= before as f64 + 1.0 {
-            self.rooms = (self.rooms - 1.0).max(MIN_ROOMS);
+        if can_begin && !is_late || self.permits + PERMIT_TOLERANCE >= before as f64 + 1.0 {
+            self.permits = (self.permits - 1.0).max(MIN_PERMITS);
             if is_newcomer {
                 self.mark_passed(beginning.rank);
             }
@@ -279,8 +295,8 @@
         };
         let retry_after = retry_after.min(beginning.max_delay).max(MIN_RETURN_DELAY);
         place.expires = now + retry_after + RETURN_GRACE;
-        if place.program.is_some() && self.places.len() < MAX_PLACES {
-            self.places.push(place);
+        if place.program.is_some() {
+            self.add_place(place);
         }
         Decision::Refused {
             position,
--- a/crates/gradedyke-policy/tests/capacity.rs
+++ b/crates/gradedyke-policy/tests/capacity.rs
@@ -394,3 +394,35 @@
     // The first of the others returns, but the room is taken.
     assert_eq!(decide("a", 2, 10_150), Some(0));
 }
+
+/// Guards against callers of a low rank that fill the schedule, so that one of a higher rank gets
+/// no place and is refused again while later callers of its rank are admitted.
+#[test]
+fn higher_rank_gets_a_place_in_a_full_schedule() {
+    let (now, admission) = (Instant::now(), Admission::default());
+    let full = Occupancy {
+        in_flight: 44,
+        slots: 40,
+    };
+    let decide = |id: &str, rank, after_ms| {
+        let program = Id::parse(id).unwrap();
+        let beginning = Beginning {
+            program: Some(&program),
+            rank,
+            slack: Some(Duration::from_secs(60)),
+            max_delay: Duration::from_secs(20),
+        };
+        let at = now + Duration::from_millis(after_ms);
+        admission.decide("model", full, 1.0, &beginning, at) == Decision::Admitted
+    };
+    for n in 0..400 {
+        assert!(!decide(&format!("low{n}"), 2, 0));
+    }
+    let limit = admission.waiting("model");
+    assert!(limit < 400, "{limit}");
+    assert!(!decide("high", 0, 1));
+    assert_eq!(admission.waiting("model"), limit);
+    // There is room for one program, and the first caller of the rank gets it.
+    assert!(!decide("newcomer", 0, 9_500));
+    assert!(decide("high", 0, 9_900));
+}
