Age of the reports in log lines of admission

Decisions by hash are logged and counted while the service is full, also if the program is admitted. Sums of reported loads and slots saturate. Late programs are neither determined nor logged where slack_urgency is switched off.

--- a/crates/gradedyke-gateway/src/entry/capacity.rs
+++ b/crates/gradedyke-gateway/src/entry/capacity.rs
@@ -17,9 +17,9 @@
 /// Callers obey a retry delay only up to this part of the time that they have left.
 const OBEYED_DELAY_RATIO: f64 = 1.0 / 3.0;
 
-/// What is known of a request's place in its program.
+/// What is known of whether a request begins its program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Position {
+enum Stage {
     Begins,
     Continues,
     /// The request may begin a program or continue one.
@@ -28,20 +28,20 @@
     KnownLater,
 }
 
-/// Position of the request before the keepers were asked. A request without a parent may be that
+/// Stage of the request before the keepers were asked. A request without a parent may be that
 /// of a sub-agent of a program under way; the number of the program's attempts tells, which is
 /// known if it has a budget.
-fn position(call: &Call) -> Position {
+fn stage(call: &Call) -> Stage {
     let stores_turns = call.route.retention.is_some();
     if stores_turns && call.meta.parent.is_some() {
-        return Position::Continues;
+        return Stage::Continues;
     }
     if call.meta.token_budget.is_some() && call.meta.program.is_some() {
-        return Position::KnownLater;
+        return Stage::KnownLater;
     }
     match stores_turns {
-        true => Position::Begins,
-        false => Position::Unknown,
+        true => Stage::Begins,
+        false => Stage::Unknown,
     }
 }
 
@@ -52,10 +52,10 @@
     ///
     /// [`Refusal::ServiceFull`]
     pub(super) fn admit_request(&self, call: &Call, now: Instant) -> Result<(), Refusal> {
-        match position(call) {
-            Position::Begins => self.admit_program(call, now),
-            Position::Unknown => self.admit_by_hash(call, now),
-            Position::Continues | Position::KnownLater => Ok(()),
+        match stage(call) {
+            Stage::Begins => self.admit_program(call, now),
+            Stage::Unknown => self.admit_by_hash(call, now),
+            Stage::Continues | Stage::KnownLater => Ok(()),
         }
     }
 
@@ -71,7 +71,7 @@
         program_attempts: usize,
         now: Instant,
     ) -> Result<(), Refusal> {
-        if position(call) != Position::KnownLater || program_attempts > 1 {
+        if stage(call) != Stage::KnownLater || program_attempts > 1 {
             return Ok(());
         }
         self.admit_program(call, now)
@@ -120,12 +120,13 @@
                 retry_after,
             } => ("refused", Some(position), Some(retry_after)),
         };
+        let report_age = self.fleet.occupancy_report_age(&call.service, now);
         tracing::info!(event = "program_admission", request = %call.id,
             program = call.meta.program.as_ref().map_or("none", Id::as_str), outcome,
             service = call.service, in_flight = occupancy.in_flight, slots = occupancy.slots,
-            rank = beginning.rank, slack_ms = slack.map(|s| s.as_millis()),
-            left_ms = time_left.map(|l| l.as_millis()), turns, waiting, position,
-            retry_after_ms = retry_after.map(|a| a.as_millis()));
+            report_age_ms = report_age.map(|a| a.as_millis()), rank = beginning.rank,
+            slack_ms = slack.map(|s| s.as_millis()), left_ms = time_left.map(|l| l.as_millis()),
+            turns, waiting, position, retry_after_ms = retry_after.map(|a| a.as_millis()));
         metrics::counter!("gradedyke_program_admissions_total", "outcome" => outcome).increment(1);
         match retry_after {
             None => Ok(()),
@@ -140,25 +141,33 @@
         };
         let program = call.meta.program.as_ref();
         let sample = program.map_or_else(rand::random, throttle::hash_fraction);
-        if admission::admits_unknown(occupancy, sample) {
+        if !occupancy.is_full() {
             return Ok(());
         }
+        let is_admitted = admission::admits_unknown(occupancy, sample);
+        let outcome = if is_admitted { "admitted" } else { "refused" };
+        let report_age = self.fleet.occupancy_report_age(&call.service, now);
         tracing::info!(event = "program_admission", request = %call.id,
-            program = program.map_or("none", Id::as_str), outcome = "refused",
+            program = program.map_or("none", Id::as_str), outcome,
             service = call.service, in_flight = occupancy.in_flight, slots = occupancy.slots,
-            sample);
-        metrics::counter!("gradedyke_program_admissions_total", "outcome" => "refused")
-            .increment(1);
-        Err(Refusal::ServiceFull(MIN_RETRY_AFTER))
+            report_age_ms = report_age.map(|a| a.as_millis()), sample);
+        metrics::counter!("gradedyke_program_admissions_total", "outcome" => outcome).increment(1);
+        match is_admitted {
+            true => Ok(()),
+            false => Err(Refusal::ServiceFull(MIN_RETRY_AFTER)),
+        }
     }
 
     /// Records a turn that begins as number `turn` of its program; 0 if the number is not known.
-    /// Returns whether the program can no longer end in time.
+    /// Returns whether the program can no longer end in time, if its urgency depends on that.
     pub(super) fn record_turn(&self, call: &Call, turn: usize, now: Instant) -> bool {
         let route = &call.route.name;
         if turn > 0 {
             self.progress.record_turn(route, turn, now);
         }
+        if !self.mechanisms.is_enabled(Mechanism::SlackUrgency) {
+            return false;
+        }
         let Some(time_left) = call.program_time_left(now) else {
             return false;
         };
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -362,12 +362,20 @@
             return recent;
         }
         let registry = self.lock();
-        let received = registry.peer_load_received;
-        let has_peer_load =
-            received.is_some_and(|at| now.saturating_duration_since(at) <= PEER_LOAD_TTL);
+        let received_at = registry
+            .peer_load_received
+            .filter(|at| now.saturating_duration_since(*at) <= PEER_LOAD_TTL);
         let sums = registry.sum_load(service, now);
         drop(registry);
-        occupancies.update(service, sums, has_peer_load, now)
+        occupancies.update(service, sums, received_at, now)
+    }
+
+    /// Age of other entries' reports in the last [occupancy](Self::occupancy) that was asked for;
+    /// `None` if it was estimated without reports.
+    pub fn occupancy_report_age(&self, service: &str, now: Instant) -> Option<Duration> {
+        let occupancies = self.occupancies.lock();
+        let occupancies = occupancies.unwrap_or_else(PoisonError::into_inner);
+        occupancies.report_age(service, now)
     }
 
     /// The last [occupancy](Self::occupancy) that was asked for, if that was recently.
--- a/crates/gradedyke-gateway/src/fleet/occupancy.rs
+++ b/crates/gradedyke-gateway/src/fleet/occupancy.rs
@@ -28,6 +28,8 @@
 struct ServiceSums {
     summed_at: Instant,
     occupancy: Option<Occupancy>,
+    /// When the reports that the sum contains were received; `None` if it contains none.
+    received_at: Option<Instant>,
     /// This entry's share of the requests in flight, while others' were known.
     own_share: Option<f64>,
 }
@@ -56,18 +58,25 @@
         occupancy.filter(|_| age < OLD_SUM_TTL)
     }
 
-    /// Stores a new sum. `has_peer_load` says whether others' requests are known. If they are not,
-    /// this entry's requests are scaled by its share when they last were; if they never were, the
-    /// occupancy is unknown.
+    /// Age of the reports of other entries that the last sum contains; `None` if it contains none.
+    pub(super) fn report_age(&self, service: &str, now: Instant) -> Option<Duration> {
+        let received_at = self.0.get(service)?.received_at?;
+        Some(now.saturating_duration_since(received_at))
+    }
+
+    /// Stores a new sum. `received_at` says when others' requests were reported, if they are
+    /// known. If they are not, this entry's requests are scaled by its share when they last were;
+    /// if they never were, the occupancy is unknown.
     pub(super) fn update(
         &mut self,
         service: &str,
         sums: Sums,
-        has_peer_load: bool,
+        received_at: Option<Instant>,
         now: Instant,
     ) -> Option<Occupancy> {
+        let has_peer_load = received_at.is_some();
         let known_share = self.0.get(service).and_then(|s| s.own_share);
-        let total = sums.own + sums.others;
+        let total = sums.own.saturating_add(sums.others);
         let own_share = match has_peer_load && total > 0 {
             true => {
                 let share = f64::from(sums.own) / f64::from(total);
@@ -87,6 +96,7 @@
         let sums = ServiceSums {
             summed_at: now,
             occupancy,
+            received_at,
             own_share,
         };
         match self.0.get_mut(service) {
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -476,9 +476,10 @@
             if self.evacuated.contains(&state.server.data_centre) {
                 continue;
             }
-            sums.own += state.in_flight;
-            sums.others += state.peer_load.requests;
-            sums.slots += state.server.slots;
+            // Other processes report these numbers; a wrong one must not overflow the sum.
+            sums.own = sums.own.saturating_add(state.in_flight);
+            sums.others = sums.others.saturating_add(state.peer_load.requests);
+            sums.slots = sums.slots.saturating_add(state.server.slots);
         }
         sums
     }
