--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -298,6 +298,7 @@
                     self.throttle.retry_after(Instant::now())
                 }
                 Refusal::AllowanceExceeded => self.refused_wait(&refused_call),
+                Refusal::ServiceFull(wait) => wait,
                 _ => self.estimate_slot_wait(&refused_call),
             },
         })
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -124,7 +124,8 @@
     /// assert_eq!(Refusal::BudgetExceeded.retry_after(second, 0.5), None);
     /// ```
     pub fn retry_after(self, expected_wait: Duration, random: f64) -> Option<Duration> {
-        // Each caller has a time of its own, which a random factor would only change.
+        // The times of callers that wait for room differ already; a random factor would change
+        // their order.
         if let Refusal::ServiceFull(wait) = self {
             return Some(wait);
         }
@@ -168,7 +169,7 @@
                 "no program can begin now, others under way go first; come back soon"
             }
             Refusal::ServiceFull(_) => {
-                "no program can begin now, the backend servers are full; come back then"
+                "no program can begin now because the backend servers are full; come back then"
             }
             Refusal::TurnNotFound => "there is no such turn; start a new conversation",
             Refusal::BudgetExceeded => "the program's budget is spent; end it",
