--- a/crates/gradedyke-policy/tests/capacity.rs
+++ b/crates/gradedyke-policy/tests/capacity.rs
@@ -404,7 +404,7 @@
         in_flight: 44,
         slots: 40,
     };
-    let decide = |id: &str, rank, after_ms| {
+    let decide = |id: &str, rank, after: Duration| {
         let program = Id::parse(id).unwrap();
         let beginning = Beginning {
             program: Some(&program),
@@ -412,17 +412,20 @@
             slack: Some(Duration::from_secs(60)),
             max_delay: Duration::from_secs(20),
         };
-        let at = now + Duration::from_millis(after_ms);
-        admission.decide("model", full, 1.0, &beginning, at) == Decision::Admitted
+        let at = now + after;
+        match admission.decide("model", full, 1.0, &beginning, at) {
+            Decision::Admitted => None,
+            Decision::Refused { retry_after, .. } => Some(at + retry_after - now),
+        }
     };
     for n in 0..400 {
-        assert!(!decide(&format!("low{n}"), 2, 0));
+        assert!(decide(&format!("low{n}"), 2, Duration::ZERO).is_some());
     }
     let limit = admission.waiting("model");
     assert!(limit < 400, "{limit}");
-    assert!(!decide("high", 0, 1));
+    let returns = decide("high", 0, Duration::from_millis(1)).unwrap();
     assert_eq!(admission.waiting("model"), limit);
     // There is room for one program, and the first caller of the rank gets it.
-    assert!(!decide("newcomer", 0, 9_500));
-    assert!(decide("high", 0, 9_900));
+    assert!(decide("newcomer", 0, returns - Duration::from_millis(1)).is_some());
+    assert_eq!(decide("high", 0, returns), None);
 }
