--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -478,9 +478,10 @@
         let keys = self.by_service.get(service).into_iter().flatten();
         let states = keys.map(|key| &self.servers[*key]);
         for state in states.filter(|s| self.is_usable(s, now)) {
-            sums.own += state.in_flight;
-            sums.others += state.peer_load.requests;
-            sums.slots += state.server.slots;
+            // Other processes report these numbers; a wrong one must not overflow the sum.
+            sums.own = sums.own.saturating_add(state.in_flight);
+            sums.others = sums.others.saturating_add(state.peer_load.requests);
+            sums.slots = sums.slots.saturating_add(state.server.slots);
         }
         sums
     }
