--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gradedyke_http::Body;
 use gradedyke_http::body;
-use gradedyke_policy::MIN_RETRY_AFTER;
+use gradedyke_policy::{MIN_RETRY_AFTER, outage};
 use http::{HeaderValue, Response, StatusCode, header};
 
 /// Why an entry responded to a request with an error.
@@ -35,6 +35,9 @@
     /// The request may begin a program, and the throttle does not admit it because the keepers
     /// are overloaded.
     Throttled,
+    /// The request begins a program, and the servers of its service are full; with the time after
+    /// which there is room for it. It has not run.
+    ServiceFull(Duration),
     /// The turn that the request continues does not exist.
     TurnNotFound,
     /// The token budget of the program is used up.
@@ -47,10 +50,9 @@
     TimedOut,
 }
 
-/// Longest retry delay that callers are given, apart from the jitter.
+/// Longest retry delay that callers are given, apart from the jitter. Callers retry for a few
+/// seconds only, and an estimate further ahead is a guess.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Retry delay for a client account that has used its allowance.
-const ALLOWANCE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Range of the random factor applied to retry delays, so that callers that were refused
 /// together do not retry together.
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.75..1.25;
@@ -72,6 +74,7 @@
             Refusal::NoCapacity => "full",
             Refusal::NoKeepers => "no_keepers",
             Refusal::Throttled => "overload",
+            Refusal::ServiceFull(_) => "service_full",
             Refusal::TurnNotFound => "no_turn",
             Refusal::BudgetExceeded => "spent",
             Refusal::TooLate => "too_late",
@@ -101,13 +104,16 @@
             | Refusal::NoCapacity
             | Refusal::NoKeepers
             | Refusal::Throttled
+            | Refusal::ServiceFull(_)
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     /// Returns the delay after which the caller should retry; `None` if a retry does not
-    /// help. `expected_wait` is the estimated time until a backend server has a free slot, or the
-    /// delay from `Throttle::retry_after`. `random`, from 0 to 1, selects the jitter.
+    /// help. `expected_wait` is the estimated time until a backend server has a free slot or the
+    /// allowance has room, the delay from `Throttle::retry_after`, or for outdated data the
+    /// shortest useful delay, zero if nothing is known about it. `random`, from 0 to 1, selects
+    /// the jitter.
     ///
     /// ```
     /// use gradedyke_gateway::entry::refusal::Refusal;
@@ -119,17 +125,26 @@
     /// assert_eq!(Refusal::BudgetExceeded.retry_after(second, 0.5), None);
     /// ```
     pub fn retry_after(self, expected_wait: Duration, random: f64) -> Option<Duration> {
+        // The times of callers that wait for room differ already; a random factor would change
+        // their order.
+        if let Refusal::ServiceFull(wait) = self {
+            return Some(wait);
+        }
+        let jitter = match self {
+            Refusal::StaleData if !expected_wait.is_zero() => outage::JITTER,
+            _ => RETRY_AFTER_JITTER,
+        };
         let wait = match self {
             Refusal::NoConfig => STARTUP_RETRY_AFTER,
-            Refusal::AllowanceExceeded => ALLOWANCE_RETRY_AFTER,
-            Refusal::NoCapacity | Refusal::NoKeepers | Refusal::Throttled => {
-                expected_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-            }
-            Refusal::NoServer | Refusal::StaleData => MIN_RETRY_AFTER,
+            Refusal::NoCapacity
+            | Refusal::NoKeepers
+            | Refusal::Throttled
+            | Refusal::AllowanceExceeded => expected_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            Refusal::StaleData => expected_wait.max(MIN_RETRY_AFTER),
+            Refusal::NoServer => MIN_RETRY_AFTER,
             _ => return None,
         };
-        let factor =
-            RETRY_AFTER_JITTER.start + (RETRY_AFTER_JITTER.end - RETRY_AFTER_JITTER.start) * random;
+        let factor = jitter.start + (jitter.end - jitter.start) * random;
         Some(wait.mul_f64(factor))
     }
 
@@ -154,6 +169,9 @@
             Refusal::Throttled => {
                 "no program can begin now, others under way go first; come back soon"
             }
+            Refusal::ServiceFull(_) => {
+                "no program can begin now because the backend servers are full; come back then"
+            }
             Refusal::TurnNotFound => "there is no such turn; start a new conversation",
             Refusal::BudgetExceeded => "the program's budget is spent; end it",
             Refusal::TooLate => "the time was over before the request could be sent",
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -25,8 +25,9 @@
 use gradedyke_policy::estimate::Timing;
 use gradedyke_policy::health;
 
-/// Number of events after which the average time between events is reported to the fleet, so
-/// that a slow server is detected before its response ends.
+/// Number of events after which the average time between events is reported to the fleet, so that
+/// a slow server is detected before its response ends. Enough for two gaps, and a third of a
+/// response of usual length.
 const GAP_SAMPLE_EVENTS: u32 = 3;
 /// Number of events buffered for a caller that reads slowly.
 const EVENT_BUFFER_LEN: usize = 64;
@@ -139,6 +140,9 @@
         match end {
             End::Complete => {
                 self.report_timings();
+                if status.is_success() {
+                    self.entry.record_turn_end(&self.call, now);
+                }
                 if !status.is_success() {
                     // An error response generated no tokens.
                     self.reservation.settle(&self.entry, 0);
@@ -311,6 +315,7 @@
             first_event_ms: first.as_secs_f64() * 1e3,
             remaining_ms: rest.as_secs_f64() * 1e3,
             events: self.event_count.saturating_sub(1),
+            pace_ratio: candidate.pace.map_or(1.0, |pace| pace.ratio),
         };
         let (parts, generated) = (&self.call.meta.parts, u64::from(self.tokens));
         let fleet = &self.entry.fleet;
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -26,9 +26,11 @@
 use gradedyke_policy::mechanism::Mechanism;
 use gradedyke_policy::throttle;
 
-/// Timeout of one exchange with the keepers that begins a turn.
+/// Timeout of one exchange with the keepers that begins a turn. Ten exchanges with a disk sync
+/// each.
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout of all attempts together to begin a turn.
+/// Timeout of all attempts together to begin a turn. Keepers that were all lost take this long to
+/// start and read their disks, and a refusal would use up one of the few tries of a caller.
 const TOTAL_BEGIN_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Begins the turn, sends it to a backend server and starts forwarding the response.
@@ -38,12 +40,12 @@
 /// The [`Refusal`] that is sent to the caller as an error response. Nothing has been sent to
 /// the caller before.
 pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
-    let (transcript, reservation) = begin_turn(entry, &call).await?;
+    let (transcript, reservation, is_late) = begin_turn(entry, &call).await?;
     let body = match &transcript {
         Some(transcript) => concat(&transcript.body, &call.body),
         None => call.body.clone(),
     };
-    let upstream = StreamRequest::new(transcript, body);
+    let upstream = StreamRequest::new(transcript, body, is_late);
     let response = match upstream.open(entry, &call, None).await {
         Ok(response) => response,
         Err(refusal) => {
@@ -63,15 +65,16 @@
 }
 
 /// Reserves tokens in the program's budget and reads the conversation so far, in one exchange
-/// with the keepers.
+/// with the keepers. Also returns whether the program can no longer end in time.
 async fn begin_turn(
     entry: &Arc<Entry>,
     call: &Call,
-) -> Result<(Option<Transcript>, Reservation), Refusal> {
+) -> Result<(Option<Transcript>, Reservation, bool), Refusal> {
     let started = Instant::now();
     if !is_admitted(entry, call, started) {
         return Err(Refusal::Throttled);
     }
+    entry.admit_request(call, started)?;
     let budget_request = budget_request(call);
     let reservation = Reservation::new(budget_request.as_ref().map(|(r, _)| r.clone()));
     let parent = call.route.retention.and(call.meta.parent.as_ref());
@@ -101,16 +104,20 @@
                 entry.fleet.set_peer_load(&load, Instant::now());
             }
             if let (Some(snapshot), Some(total)) = (snapshot, begun.usage)
-                && !entry.record_usage(call, snapshot, total)
+                && !(entry.record_usage(call, snapshot, total)
+                    && entry.admits_progress(call, total, begun.program_attempts))
             {
                 reservation.settle(entry, 0);
                 return Err(Refusal::AllowanceExceeded);
             }
-            let is_program_start = Call::is_program_start(&call.route, &call.meta);
-            entry
-                .demand
-                .record_turn(&call.route.name, is_program_start, Instant::now());
-            Ok((begun.transcript, reservation))
+            let now = Instant::now();
+            if let Err(refusal) = entry.admit_begun(call, begun.program_attempts, now) {
+                reservation.settle(entry, 0);
+                return Err(refusal);
+            }
+            entry.record_demand(call, begun.program_attempts);
+            let is_late = entry.record_turn(call, begun.program_attempts, now);
+            Ok((begun.transcript, reservation, is_late))
         }
         Err(error) => {
             tracing::info!(event = "turn_refused", request = %call.id,
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -14,7 +14,7 @@
 use gradedyke_turns::desk::Dispatcher;
 use gradedyke_turns::detour::Forwarder;
 use gradedyke_turns::membership::{self, Membership};
-use gradedyke_turns::mirror::Mirror;
+use gradedyke_turns::mirror::{self, Mirror};
 use gradedyke_turns::quorum::Coordinator;
 use gradedyke_turns::replica::{self, Replica};
 use gradedyke_turns::{feed, log, snapshot};
@@ -29,9 +29,12 @@
 use crate::fleet::Fleet;
 use crate::settings::Settings;
 use crate::{follow, meter};
+use gradedyke_policy::admission::Admission;
 use gradedyke_policy::allowance::Limiter;
 use gradedyke_policy::demand::Demand;
-use gradedyke_policy::mechanism::Mechanisms;
+use gradedyke_policy::mechanism::{Mechanism, Mechanisms};
+use gradedyke_policy::outage::History;
+use gradedyke_policy::progress::Progress;
 use gradedyke_policy::throttle::Throttle;
 
 /// External dependencies of a process.
@@ -46,18 +49,22 @@
 /// Time without a mirror change after which an entry probes unreachable keepers and removes
 /// expired servers.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
-/// Time until the load balancer notices that an entry is draining.
+/// Time until the load balancer notices that an entry is draining. It checks every second and
+/// needs two failed checks in a row.
 const BALANCER_NOTICE_DELAY: Duration = Duration::from_millis(2_300);
 /// Part of the grace period that is reserved for the shutdown itself.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
 /// Interval at which a draining entry checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Maximum number of caller connections.
+/// Maximum number of caller connections. Three quarters of 4,100 descriptors, where each caller
+/// takes up to one more towards a server.
 const MAX_CALLER_CONNECTIONS: usize = 1_500;
-/// Time from the start of the last request after which a caller connection is closed.
+/// Time from the start of the last request after which a caller connection is closed. Twice the
+/// usual idle timeout of 15 s, because it counts from the start of the last request.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// How long a caller may leave sent data unacknowledged before its connection is closed.
+/// How long a caller may leave sent data unacknowledged before its connection is closed. Longer
+/// than callers wait for a response.
 const CALLER_ACK_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A running process. Dropping it aborts its tasks.
@@ -97,6 +104,13 @@
     dialect.prefixes()
 }
 
+/// Returns the pacing of the calls to the platform's store.
+fn watch_pacing(settings: &Settings) -> Option<mirror::Pacing> {
+    let mechanisms = Mechanisms::all_except(&settings.decisions.off);
+    let applies = settings.revocation().is_some() && mechanisms.is_enabled(Mechanism::OutageRetry);
+    applies.then_some(follow::CONFIRMED_KEYS_PACING)
+}
+
 impl Process {
     fn new(settings: Settings, entry: Option<Arc<Entry>>, stop: CancellationToken) -> Self {
         let mut tasks = JoinSet::new();
@@ -158,11 +172,16 @@
             limiter: Limiter::new(rand::random(), settings.allowance_window(), Instant::now()),
             demand: Demand::default(),
             throttle: Throttle::default(),
+            outages: History::default(),
+            admission: Admission::default(),
+            progress: Progress::default(),
             mechanisms,
             drain: CancellationToken::new(),
             config_revision: Mutex::default(),
             propagation_limit,
-            max_key_age: settings.revocation().map(entry::max_key_age),
+            max_key_age: settings
+                .revocation()
+                .map(|revocation| entry::max_key_age(revocation, mechanisms)),
             mirror_cursor: Mutex::new(0),
             active_requests: AtomicUsize::new(0),
         });
@@ -174,6 +193,7 @@
             mirror,
             peers: coordinator,
             propagation_limit,
+            pacing: watch_pacing(&process.settings.load()),
         };
         follower.start(tasks, &environment.kv, sources, Instant::now(), &stop);
         tasks.spawn(refresh(entry.clone(), stop.clone()));
@@ -263,6 +283,7 @@
             coordinator: Coordinator::new(mirror.clone(), &config.data_centre, None),
             policy: Arc::new(policy),
             standby: feed::Standby::default(),
+            pacing: watch_pacing(&process.settings.load()),
         };
         follower.start(tasks, &environment.kv, &stop);
         let (replica_mirror, replica_stop, replica_folder) =
@@ -386,6 +407,7 @@
         }
         let now = Instant::now();
         entry.record_gauges(now);
+        entry.record_outage();
         entry
             .fleet
             .remove_expired(entry.mirror.service_available_since(), now);
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -106,6 +106,9 @@
     pub load: Option<Vec<ServerLoad>>,
     /// Total usage of the client account, if requested.
     pub usage: Option<Total>,
+    /// Known attempts of the program, including this one, without those that certainly used no
+    /// tokens; 0 without a reservation.
+    pub program_attempts: usize,
     /// Duration of the successful try, without the retries before it.
     pub elapsed: Duration,
 }
--- a/crates/gradedyke-turns/src/quorum/begin.rs
+++ b/crates/gradedyke-turns/src/quorum/begin.rs
@@ -19,7 +19,8 @@
 /// First delay before a retry while no majority answers.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Delay before the only retry after a rejection by overloaded replicas. Longer than
-/// [`MIN_RETRY_DELAY`], so that retries do not add to the overload.
+/// [`MIN_RETRY_DELAY`], so that retries do not add to the overload. With retries every 40 ms
+/// replicas got seven requests for one, and had more to do the more they rejected.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay between retries.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(160);
@@ -196,6 +197,7 @@
         if let Some((reserved, budget)) = &params.reservation {
             collected.check_budget(reserved, *budget)?;
         }
+        let program_attempts = collected.program_attempts();
         let unclaimed_load = self.unclaimed_load.take();
         let load = collected.load.or(unclaimed_load);
         let usage = collected.usage;
@@ -203,6 +205,7 @@
             return Ok(BeginResponse {
                 load,
                 usage,
+                program_attempts,
                 ..BeginResponse::default()
             });
         }
@@ -223,6 +226,7 @@
             transcript: Some(transcript),
             load,
             usage,
+            program_attempts,
             ..BeginResponse::default()
         })
     }
