--- a/crates/gradedyke-gateway/src/fleet/prefix_owners.rs
+++ b/crates/gradedyke-gateway/src/fleet/prefix_owners.rs
@@ -15,10 +15,10 @@
 /// idle ones at once.
 const MAX_COMPARED_OWNERS: usize = 4;
 
-/// Whether a chosen engine owns the shared parts of a prompt.
+/// Whether a chosen engine owns the first part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ownership {
-    /// Number of compared engines that own all shared parts of the prompt.
+    /// Number of compared engines that own the first part of the prompt.
     pub owners: u32,
     /// Whether the chosen engine is one of them.
     pub is_owner: bool,
