--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
+command -v python3 >/dev/null || exit 2
 exec python3 run.py
--- a/review/standin/bench.py
+++ b/review/standin/bench.py
@@ -440,31 +440,49 @@
         return Answer(status, True, body, text)
 
     def stop(self):
+        """Ends every process that was started, and removes the temporary folder."""
         for process in self.keepers + self.entries:
             if process.child:
-                process.child.send_signal(signal.SIGCONT)
                 process.child.kill()
+        for process in self.keepers + self.entries:
+            if process.child:
                 process.child.wait()
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+# A script may run for 120 s.
+LONGEST_S = 110
+
+
 def run(case_folder, events, case, **counts):
-    """Runs a case; its function returns whether the rule held. Exits with 0, 1 or 2."""
+    """Runs a case; its function returns whether the rule held.
+
+    Exits with 0 if it held, 1 if it was broken, and 2 if the case could not run for any reason, an
+    error of the script or a signal to it among them.
+    """
 
     async def main():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         deployment = Deployment(case_folder, events, **counts)
         try:
-            await deployment.start()
-            held = await case(deployment, os.environ.get("TROUBLE", "1") != "0")
+            async with asyncio.timeout(LONGEST_S):
+                await deployment.start()
+                held = await case(deployment, os.environ.get("TROUBLE", "1") != "0")
             deployment.record.line("the rule held" if held else "the rule was broken")
             return 0 if held else 1
-        except CannotRun as problem:
-            deployment.record.line(f"cannot run: {problem}")
+        except BaseException as problem:
+            deployment.record.line(f"cannot run: {type(problem).__name__} {problem}")
             return 2
         finally:
             deployment.stop()
 
-    code = asyncio.run(main())
-    print({0: "held", 1: "broken", 2: "could not run"}[code])
-    raise SystemExit(code)
+    try:
+        code = asyncio.run(main())
+    except BaseException as problem:
+        print(f"{type(problem).__name__}: {problem}")
+        code = 2
+    print({0: "held", 1: "broken", 2: "could not run"}[code], flush=True)
+    os._exit(code)
