Log replies that are larger than a frame, and fetches that fail

Keepers that cannot copy records logged a lost peer without the reason: the error of a connection on the answering side was written at debug level only. An oversized reply, a write timeout and a peer that was killed looked alike.

- reply_not_sent: the size of a reply over the largest frame, and the limit.
- peer_connection_ended is written at info level, with the peer's address.
- records_not_fetched, and the size of what records_fetched brought.

--- a/crates/gradedyke-peer/src/server.rs
+++ b/crates/gradedyke-peer/src/server.rs
@@ -1,6 +1,7 @@
 //! The answering side, with one task for each connection and one for each call.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_trait::async_trait;
@@ -13,7 +14,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
 
-use crate::{codec, decode_frame, encode_frame};
+use crate::{MAX_FRAME_BYTES, codec, decode_frame, encode_frame};
 
 /// Maximum number of replies queued for a connection. Tasks with further replies wait.
 const REPLY_QUEUE_CAPACITY: usize = 256;
@@ -41,8 +42,8 @@
             () = stop.cancelled() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(serve_connection(stream, handler.clone()));
+            Ok((stream, peer)) => {
+                connections.spawn(serve_connection(stream, peer, handler.clone()));
             }
             Err(error) => {
                 tracing::warn!(event = "peer_accept_failed", %error);
@@ -53,9 +54,21 @@
 }
 
 /// Serves one connection and logs why it ended.
-async fn serve_connection(stream: TcpStream, handler: Arc<dyn Handler>) {
+async fn serve_connection(stream: TcpStream, peer: SocketAddr, handler: Arc<dyn Handler>) {
     if let Err(error) = exchange(stream, handler).await {
-        tracing::debug!(event = "peer_connection_ended", %error);
+        tracing::info!(event = "peer_connection_ended", %peer, %error);
+    }
+}
+
+/// Logs a reply that is larger than a frame. Writing it fails and closes the connection.
+fn log_if_too_large(reply: &[u8]) {
+    if reply.len() > MAX_FRAME_BYTES {
+        tracing::warn!(
+            event = "reply_not_sent",
+            bytes = reply.len(),
+            limit = MAX_FRAME_BYTES,
+            remedy = "report this"
+        );
     }
 }
 
@@ -84,9 +97,11 @@
                 });
             }
             Some(reply) = receiver.recv() => {
+                log_if_too_large(&reply);
                 let written = tokio::time::timeout(WRITE_TIMEOUT, async {
                     replies.feed(reply).await?;
                     while let Ok(reply) = receiver.try_recv() {
+                        log_if_too_large(&reply);
                         replies.feed(reply).await?;
                     }
                     SinkExt::<Bytes>::flush(&mut replies).await
--- a/crates/gradedyke-turns/src/record.rs
+++ b/crates/gradedyke-turns/src/record.rs
@@ -164,6 +164,14 @@
         }
     }
 
+    /// Returns the size of the turn's input and output in bytes; 0 for other records.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            Record::Reserved(_) | Record::Settled(_) => 0,
+            Record::Turn(turn) => turn.input.len() + turn.output.len(),
+        }
+    }
+
     /// Returns how long the record is retained.
     pub fn retention(&self) -> Duration {
         let ms = match self {
--- a/crates/gradedyke-turns/src/sync.rs
+++ b/crates/gradedyke-turns/src/sync.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::message::{self, Keys, Reply, Request};
-use crate::record::Key;
+use crate::record::{Key, Record};
 use crate::replica::Replica;
 use crate::view::DiskId;
 
@@ -182,14 +182,22 @@
     /// Fetches the records of `keys` and stores them; `None` if anything failed.
     async fn fetch(&self, keys: Vec<Key>) -> Option<()> {
         let requested = keys.len();
-        let Reply::Records(records) = self.call(&Request::Records(keys)).await? else {
+        let reply = self.call(&Request::Records(keys)).await;
+        let Some(Reply::Records(records)) = reply else {
+            tracing::warn!(
+                event = "records_not_fetched",
+                disk = self.peer_disk,
+                asked = requested,
+                answered = reply.is_some()
+            );
             return None;
         };
         tracing::info!(
             event = "records_fetched",
             disk = self.peer_disk,
             asked = requested,
-            found = records.len()
+            found = records.len(),
+            bytes = records.iter().map(Record::body_bytes).sum::<usize>()
         );
         let results = join_all(records.iter().map(|r| self.replica.store(r))).await;
         results.into_iter().all(|r| r.is_ok()).then_some(())
