Carry messages of up to 64 MiB between processes; an oversized one fails alone

Callers saw: nothing directly; keepers and entries lost connections that were in order, with all calls on them, whenever one message was larger than a frame (16 MiB), and whenever both sides had more to write than the buffers of the operating system hold.

Cause: a message was one frame. Writing a larger one failed with "frame size too big", which ended the connection; the caller got ConnectionLost, as for a peer that was killed, and repeated the call. Both sides wrote before they read and gave up after 500 ms, so 8 MiB in each direction ended the connection too. A message that took longer than the timeout of its call was lost as well.

Change: messages over 128 KiB are sent in fragments, with small messages in between, by a task that reads while it writes. The timeout of a call restarts with each fragment, and a connection is given up when nothing was written for 500 ms, not when a write is not finished by then. A message over 64 MiB fails only its own call, with RequestTooLarge before it is sent, or ReplyTooLarge in place of the reply.

--- a/crates/gradedyke-peer/src/client.rs
+++ b/crates/gradedyke-peer/src/client.rs
@@ -12,15 +12,17 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::FramedRead;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::{codec, decode_frame, encode_frame};
+use crate::inbox::{Inbox, Message};
+use crate::outbox::Outbox;
+use crate::{MAX_MESSAGE_BYTES, frame, sleep_until};
 
 /// Timeout for connecting. The operating system retransmits a lost SYN packet only
 /// after a second, so new attempts connect sooner.
@@ -29,8 +31,6 @@
 /// They reach an instance that has just started before the SYN packet is
 /// retransmitted.
 const CONNECT_ATTEMPT_INTERVAL: Duration = Duration::from_millis(40);
-/// Timeout for writing queued requests to the connection.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of calls queued for the connection.
 const QUEUE_CAPACITY: usize = 1_024;
 
@@ -46,31 +46,69 @@
     /// No reply arrived before the timeout; the call may have taken effect.
     #[error("{0} did not reply within {1:?}; the call may have taken effect, retry it")]
     TimedOut(SocketAddr, Duration),
+    /// The request has this size, which is over [`MAX_MESSAGE_BYTES`]; it was not sent.
+    #[error("a request of {1} bytes to {0} is too large and was not sent; split it")]
+    RequestTooLarge(SocketAddr, u64),
+    /// The reply has this size, which is over [`MAX_MESSAGE_BYTES`]; the call has taken effect.
+    #[error("the reply of {0} has {1} bytes, which is too large to be sent; ask for less")]
+    ReplyTooLarge(SocketAddr, u64),
 }
 
-/// The time at which the last reply arrived, shared between threads.
-struct LastReply {
+impl Error {
+    /// Whether a message was too large. The peer is reachable, and repeating the call gives the
+    /// same error.
+    ///
+    /// ```
+    /// use gradedyke_peer::Error;
+    ///
+    /// let address = "127.0.0.1:9".parse().unwrap();
+    /// assert!(Error::ReplyTooLarge(address, 1 << 30).is_too_large());
+    /// assert!(!Error::Unreachable(address).is_too_large());
+    /// ```
+    pub fn is_too_large(&self) -> bool {
+        matches!(self, Error::RequestTooLarge(..) | Error::ReplyTooLarge(..))
+    }
+}
+
+/// A point in time that is shared between threads and only moves forward.
+struct SharedInstant {
     start: Instant,
-    /// Milliseconds from `start` to the last reply.
-    ms: AtomicU64,
+    /// Microseconds from `start`.
+    us: AtomicU64,
 }
 
-impl LastReply {
-    fn record(&self, now: Instant) {
-        let ms = now.saturating_duration_since(self.start).as_millis();
-        self.ms
-            .store(u64::try_from(ms).unwrap_or(u64::MAX), Ordering::Relaxed);
+impl SharedInstant {
+    fn new(start: Instant) -> Self {
+        Self {
+            start,
+            us: AtomicU64::new(0),
+        }
+    }
+
+    fn advance_to(&self, to: Instant) {
+        let us = to.saturating_duration_since(self.start).as_micros();
+        self.us
+            .fetch_max(u64::try_from(us).unwrap_or(u64::MAX), Ordering::Relaxed);
     }
 
-    fn time(&self) -> Instant {
-        self.start + Duration::from_millis(self.ms.load(Ordering::Relaxed))
+    fn get(&self) -> Instant {
+        self.start + Duration::from_micros(self.us.load(Ordering::Relaxed))
     }
 }
 
 struct Call {
     body: Bytes,
     reply: oneshot::Sender<Result<Bytes, Error>>,
-    deadline: Instant,
+    timeout: Duration,
+    /// Extended whenever a fragment of the request or the reply is transferred.
+    deadline: Arc<SharedInstant>,
+}
+
+impl Call {
+    /// Restarts the timeout at `now`.
+    fn extend(&self, now: Instant) {
+        self.deadline.advance_to(now + self.timeout);
+    }
 }
 
 /// A client of one peer. Clones share the connection, which is closed when the last
@@ -80,7 +118,7 @@
     address: SocketAddr,
     calls: mpsc::Sender<Call>,
     down: Arc<AtomicBool>,
-    last_reply: Arc<LastReply>,
+    last_reply: Arc<SharedInstant>,
     _task: Arc<DropGuard>,
 }
 
@@ -103,10 +141,7 @@
         let (calls, queue) = mpsc::channel(QUEUE_CAPACITY);
         let stop = CancellationToken::new();
         let down = Arc::new(AtomicBool::new(false));
-        let last_reply = Arc::new(LastReply {
-            start: Instant::now(),
-            ms: AtomicU64::new(0),
-        });
+        let last_reply = Arc::new(SharedInstant::new(Instant::now()));
         let connection = Connection {
             address,
             queue,
@@ -143,22 +178,31 @@
     /// there was none. A peer that replied recently is reachable, even if one call
     /// to it has timed out.
     pub fn last_reply_at(&self) -> Instant {
-        self.last_reply.time()
+        self.last_reply.get()
     }
 
-    /// Makes a call and waits at most `timeout` for its reply.
+    /// Makes a call and waits at most `timeout` for its reply. While a large request or reply is
+    /// transferred, the timeout restarts with each of its fragments.
     ///
     /// # Errors
     ///
-    /// [`Error::Unreachable`] if the call was not sent; after any other error it
-    /// may have taken effect.
+    /// [`Error::Unreachable`] or [`Error::RequestTooLarge`] if the call was not sent; after any
+    /// other error it may have taken effect.
     pub async fn call(&self, body: Bytes, timeout: Duration) -> Result<Bytes, Error> {
+        if body.len() > MAX_MESSAGE_BYTES {
+            metrics::counter!("gradedyke_messages_too_large_total", "kind" => "request")
+                .increment(1);
+            return Err(Error::RequestTooLarge(self.address, body.len() as u64));
+        }
         let (reply, answer) = oneshot::channel();
-        let deadline = Instant::now() + timeout;
+        let now = Instant::now();
+        let deadline = Arc::new(SharedInstant::new(now));
+        deadline.advance_to(now + timeout);
         let call = Call {
             body,
             reply,
-            deadline,
+            timeout,
+            deadline: deadline.clone(),
         };
         let exchange = async {
             let sent = self.calls.send(call).await;
@@ -167,9 +211,14 @@
                 .await
                 .map_err(|_| Error::ConnectionLost(self.address))?
         };
-        match tokio::time::timeout_at(deadline, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::TimedOut(self.address, timeout)),
+        tokio::pin!(exchange);
+        loop {
+            let until = deadline.get();
+            match tokio::time::timeout_at(until, &mut exchange).await {
+                Ok(result) => return result,
+                Err(_) if deadline.get() > until => {}
+                Err(_) => return Err(Error::TimedOut(self.address, timeout)),
+            }
         }
     }
 }
@@ -179,7 +228,7 @@
     address: SocketAddr,
     queue: mpsc::Receiver<Call>,
     down: Arc<AtomicBool>,
-    last_reply: Arc<LastReply>,
+    last_reply: Arc<SharedInstant>,
 }
 
 impl Connection {
@@ -189,14 +238,14 @@
             match connect.await {
                 Ok(Ok(stream)) => {
                     self.set_down(false);
-                    let mut pending = HashMap::new();
-                    let result = self.exchange(stream, first, &mut pending).await;
+                    let mut exchange = Exchange::new(Instant::now());
+                    let result = self.exchange(stream, first, &mut exchange).await;
                     if let Err(error) = result {
                         tracing::info!(event = "peer_lost", peer = %self.address, %error,
-                            pending = pending.len());
+                            pending = exchange.pending.len());
                         self.set_down(true);
                     }
-                    for (_, call) in pending {
+                    for (_, call) in exchange.pending {
                         // Sending fails if the caller has stopped waiting.
                         let _: Result<(), _> =
                             call.reply.send(Err(Error::ConnectionLost(self.address)));
@@ -232,47 +281,134 @@
     }
 
     /// Sends calls and delivers replies until the connection fails, is considered
-    /// dead, or the client is dropped.
+    /// dead, or the client is dropped. Replies are read while requests are written, so that
+    /// neither side waits for the other to read.
     async fn exchange(
         &mut self,
         stream: TcpStream,
         first: Call,
-        pending: &mut HashMap<u64, Call>,
+        exchange: &mut Exchange,
     ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (reader, writer) = stream.into_split();
-        let mut replies = FramedRead::new(reader, codec());
-        let mut requests = FramedWrite::new(writer, codec());
-        let mut last_reply = Instant::now();
-        let mut number = 0;
+        let mut replies = FramedRead::new(reader, frame::codec());
         let mut next = Some(first);
         loop {
+            let now = Instant::now();
             while let Some(call) = next.take() {
-                number += 1;
-                requests.feed(encode_frame(number, &call.body)).await?;
-                pending.insert(number, call);
-                next = self.queue.try_recv().ok();
+                exchange.send(call, now);
+                if !exchange.outbox.is_full() {
+                    next = self.queue.try_recv().ok();
+                }
+            }
+            if exchange.outbox.write(&writer, now)? {
+                exchange.note_written(now);
             }
-            let flushed =
-                tokio::time::timeout(WRITE_TIMEOUT, SinkExt::<Bytes>::flush(&mut requests)).await;
-            flushed.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-            let deadline = pending.values().map(|c| c.deadline).min();
             tokio::select! {
-                frame = replies.next() => {
-                    let Some(frame) = frame else {
+                reply = replies.next() => {
+                    let Some(reply) = reply else {
                         return Err(io::Error::from(io::ErrorKind::UnexpectedEof));
                     };
-                    last_reply = Instant::now();
-                    self.last_reply.record(last_reply);
-                    deliver_reply(pending, frame?)?;
+                    let now = Instant::now();
+                    self.last_reply.advance_to(now);
+                    exchange.receive(reply?, self.address, now)?;
                 }
-                call = self.queue.recv() => {
+                call = self.queue.recv(), if !exchange.outbox.is_full() => {
                     let Some(call) = call else { return Ok(()) };
                     next = Some(call);
                 }
-                () = sleep_until(deadline) => remove_expired(pending, last_reply)?,
+                writable = writer.writable(), if !exchange.outbox.is_empty() => writable?,
+                () = sleep_until(exchange.wakes_at()) => exchange.remove_expired(Instant::now())?,
+            }
+        }
+    }
+}
+
+/// The calls on one connection.
+struct Exchange {
+    /// Number of the last call.
+    number: u64,
+    pending: HashMap<u64, Call>,
+    outbox: Outbox,
+    inbox: Inbox,
+    /// When a reply arrived, or a fragment of a request was accepted.
+    active_at: Instant,
+}
+
+impl Exchange {
+    fn new(now: Instant) -> Self {
+        Self {
+            number: 0,
+            pending: HashMap::new(),
+            outbox: Outbox::new(now),
+            inbox: Inbox::default(),
+            active_at: now,
+        }
+    }
+
+    /// Queues the request of a call.
+    fn send(&mut self, mut call: Call, now: Instant) {
+        self.number += 1;
+        let body = std::mem::take(&mut call.body);
+        self.outbox.push(self.number, body, now);
+        self.pending.insert(self.number, call);
+    }
+
+    /// Restarts the timeout of the call whose large request is being written.
+    fn note_written(&mut self, now: Instant) {
+        let Some(number) = self.outbox.large_in_progress() else {
+            return;
+        };
+        self.active_at = now;
+        if let Some(call) = self.pending.get(&number) {
+            call.extend(now);
+        }
+    }
+
+    /// Adds a received frame and delivers the reply that it completes.
+    fn receive(&mut self, frame: BytesMut, peer: SocketAddr, now: Instant) -> io::Result<()> {
+        self.active_at = now;
+        let (number, message) = self.inbox.receive(frame)?;
+        let Some(message) = message else {
+            if let Some(call) = self.pending.get(&number) {
+                call.extend(now);
             }
+            return Ok(());
+        };
+        let Some(call) = self.pending.remove(&number) else {
+            return Ok(());
+        };
+        let result = match message {
+            Message::Whole(body) => Ok(body),
+            Message::TooLarge(size) => Err(Error::ReplyTooLarge(peer, size)),
+        };
+        // Sending fails if the caller has stopped waiting.
+        let _: Result<(), _> = call.reply.send(result);
+        Ok(())
+    }
+
+    /// Returns the earliest time at which a call expires or the connection stalls.
+    fn wakes_at(&self) -> Option<Instant> {
+        let deadlines = self.pending.values().map(|c| c.deadline.get());
+        deadlines.chain(self.outbox.stalls_at()).min()
+    }
+
+    /// Removes calls whose deadline has passed. Fails if one of them expired after the
+    /// connection had been silent for [`SILENCE_TIMEOUT`]: the connection is then
+    /// considered dead.
+    fn remove_expired(&mut self, now: Instant) -> io::Result<()> {
+        let deadlines = self.pending.values().map(|c| c.deadline.get());
+        // Long-polling calls are answered before their deadline, so an expired call
+        // means that its reply is overdue.
+        let is_silent = deadlines
+            .filter(|deadline| *deadline <= now)
+            .max()
+            .is_some_and(|deadline| self.active_at + SILENCE_TIMEOUT <= deadline);
+        self.pending.retain(|_, call| call.deadline.get() > now);
+        if is_silent {
+            return Err(io::Error::from(io::ErrorKind::TimedOut));
         }
+        Ok(())
     }
 }
 
@@ -289,44 +425,6 @@
     }
 }
 
-/// Sleeps until `deadline`, or forever if there is none.
-async fn sleep_until(deadline: Option<Instant>) {
-    match deadline {
-        Some(deadline) => tokio::time::sleep_until(deadline).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Passes a reply to the caller that is waiting for it.
-fn deliver_reply(pending: &mut HashMap<u64, Call>, frame: BytesMut) -> io::Result<()> {
-    let invalid = || io::Error::from(io::ErrorKind::InvalidData);
-    let (number, body) = decode_frame(frame).ok_or_else(invalid)?;
-    if let Some(call) = pending.remove(&number) {
-        // Sending fails if the caller has stopped waiting.
-        let _: Result<(), _> = call.reply.send(Ok(body));
-    }
-    Ok(())
-}
-
-/// Removes calls whose deadline has passed. Fails if one of them expired after the
-/// connection had been silent for [`SILENCE_TIMEOUT`]: the connection is then
-/// considered dead.
-fn remove_expired(pending: &mut HashMap<u64, Call>, last_reply: Instant) -> io::Result<()> {
-    let now = Instant::now();
-    let expired = pending.values().filter(|c| c.deadline <= now);
-    // Long-polling calls are answered before their deadline, so an expired call
-    // means that its reply is overdue.
-    let is_silent = expired
-        .map(|c| c.deadline)
-        .max()
-        .is_some_and(|deadline| last_reply + SILENCE_TIMEOUT <= deadline);
-    pending.retain(|_, call| call.deadline > now);
-    if is_silent {
-        return Err(io::Error::from(io::ErrorKind::TimedOut));
-    }
-    Ok(())
-}
-
 /// Time without replies after which a connection with an expired call is considered
 /// dead. It must be longer than a disk sync and shorter than the timeout of a call.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(150);
--- a/crates/gradedyke-peer/src/lib.rs
+++ b/crates/gradedyke-peer/src/lib.rs
@@ -6,44 +6,34 @@
 //! protocol carries binary bodies unencoded and needs less CPU time per call than
 //! HTTP.
 //!
+//! A message of up to [`MAX_MESSAGE_BYTES`] is delivered. One that does not fit in a
+//! frame is sent in fragments, between which small messages are sent, so that it delays
+//! them little, and its timeouts count from the last fragment. A larger message fails only
+//! its own call, with an error that tells its size; repeating the call does not help.
+//!
 //! - [`client`]: makes calls and reconnects when necessary.
 //! - [`server`]: accepts connections and answers calls.
+//! - `frame`: the encoding of frames.
+//! - `outbox` and `inbox`: split messages into frames and put them together again.
 
 pub mod client;
+mod frame;
+mod inbox;
+mod outbox;
 pub mod server;
 
-use bytes::{BufMut, Bytes, BytesMut};
-use tokio_util::codec::LengthDelimitedCodec;
-
 pub use client::{Client, Error};
 pub use server::Handler;
-
-/// Maximum size of a frame. The largest conversations must fit.
-const MAX_FRAME_BYTES: usize = 16 << 20;
-
-/// Size of the call's number at the start of a frame.
-const CALL_NUMBER_BYTES: usize = size_of::<u64>();
-
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
-}
-
-/// Encodes a frame from the call's number and its body.
-fn encode_frame(number: u64, body: &[u8]) -> Bytes {
-    let mut frame = BytesMut::with_capacity(CALL_NUMBER_BYTES + body.len());
-    frame.put_u64(number);
-    frame.put_slice(body);
-    frame.freeze()
-}
-
-/// Decodes a frame into the call's number and its body. Returns `None` if the
-/// frame is too short.
-fn decode_frame(frame: BytesMut) -> Option<(u64, Bytes)> {
-    let mut frame = frame.freeze();
-    let head = frame.get(..CALL_NUMBER_BYTES)?;
-    let number = u64::from_be_bytes(head.try_into().ok()?);
-    let body = frame.split_off(CALL_NUMBER_BYTES);
-    Some((number, body))
+use tokio::time::Instant;
+
+/// Maximum size of a request or a reply, in bytes. Limits the memory that a peer can make this
+/// process allocate for one connection.
+pub const MAX_MESSAGE_BYTES: usize = 64 << 20;
+
+/// Sleeps until `deadline`, or forever if there is none.
+async fn sleep_until(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
 }
--- a/crates/gradedyke-peer/src/server.rs
+++ b/crates/gradedyke-peer/src/server.rs
@@ -6,21 +6,20 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 
-use crate::{MAX_FRAME_BYTES, codec, decode_frame, encode_frame};
+use crate::inbox::{Inbox, Message};
+use crate::outbox::Outbox;
+use crate::{MAX_MESSAGE_BYTES, frame, sleep_until};
 
 /// Maximum number of replies queued for a connection. Tasks with further replies wait.
 const REPLY_QUEUE_CAPACITY: usize = 256;
-/// Timeout for writing queued replies. A connection whose peer does not read is
-/// closed, because its replies would fill the memory.
-const WRITE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
 
@@ -60,32 +59,27 @@
     }
 }
 
-/// Logs a reply that is larger than a frame. Writing it fails and closes the connection.
-fn log_if_too_large(reply: &[u8]) {
-    if reply.len() > MAX_FRAME_BYTES {
-        tracing::warn!(
-            event = "reply_not_sent",
-            bytes = reply.len(),
-            limit = MAX_FRAME_BYTES,
-            remedy = "report this"
-        );
-    }
-}
-
-/// Reads calls and writes replies until the connection ends.
+/// Reads calls and writes replies until the connection ends. While replies wait to be written,
+/// no further calls are read.
 async fn exchange(stream: TcpStream, handler: Arc<dyn Handler>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (reader, writer) = stream.into_split();
-    let mut requests = FramedRead::new(reader, codec());
-    let mut replies = FramedWrite::new(writer, codec());
-    let (sender, mut receiver) = mpsc::channel::<Bytes>(REPLY_QUEUE_CAPACITY);
+    let mut requests = FramedRead::new(reader, frame::codec());
+    let mut inbox = Inbox::default();
+    let mut outbox = Outbox::new(Instant::now());
+    let (sender, mut receiver) = mpsc::channel::<(u64, Bytes)>(REPLY_QUEUE_CAPACITY);
     let mut calls = JoinSet::new();
     loop {
         tokio::select! {
-            frame = requests.next() => {
-                let Some(frame) = frame else { return Ok(()) };
-                let Some((number, body)) = decode_frame(frame?) else {
-                    return Err(io::Error::from(io::ErrorKind::InvalidData));
+            request = requests.next(), if !outbox.is_full() => {
+                let Some(request) = request else { return Ok(()) };
+                let (number, message) = inbox.receive(request?)?;
+                let body = match message {
+                    Some(Message::Whole(body)) => body,
+                    Some(Message::TooLarge(_)) => {
+                        return Err(io::Error::from(io::ErrorKind::InvalidData));
+                    }
+                    None => continue,
                 };
                 let handler = handler.clone();
                 let sender = sender.clone();
@@ -93,22 +87,43 @@
                 calls.spawn(async move {
                     let reply = handler.handle(body, arrived).await;
                     // Sending fails if the connection is closed.
-                    let _ = sender.send(encode_frame(number, &reply)).await;
+                    let _ = sender.send((number, reply)).await;
                 });
             }
-            Some(reply) = receiver.recv() => {
-                log_if_too_large(&reply);
-                let written = tokio::time::timeout(WRITE_TIMEOUT, async {
-                    replies.feed(reply).await?;
-                    while let Ok(reply) = receiver.try_recv() {
-                        log_if_too_large(&reply);
-                        replies.feed(reply).await?;
-                    }
-                    SinkExt::<Bytes>::flush(&mut replies).await
-                });
-                written.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            Some((number, reply)) = receiver.recv(), if !outbox.is_full() => {
+                let now = Instant::now();
+                push_reply(&mut outbox, number, reply, now);
+                while !outbox.is_full()
+                    && let Ok((number, reply)) = receiver.try_recv()
+                {
+                    push_reply(&mut outbox, number, reply, now);
+                }
+                outbox.write(&writer, now)?;
+            }
+            writable = writer.writable(), if !outbox.is_empty() => {
+                writable?;
+                outbox.write(&writer, Instant::now())?;
+            }
+            () = sleep_until(outbox.stalls_at()) => {
+                outbox.write(&writer, Instant::now())?;
             }
             Some(_) = calls.join_next() => {}
         }
     }
 }
+
+/// Queues a reply, or only its size if it is too large.
+fn push_reply(outbox: &mut Outbox, number: u64, reply: Bytes, now: Instant) {
+    if reply.len() <= MAX_MESSAGE_BYTES {
+        outbox.push(number, reply, now);
+        return;
+    }
+    metrics::counter!("gradedyke_messages_too_large_total", "kind" => "reply").increment(1);
+    tracing::warn!(
+        event = "reply_not_sent",
+        bytes = reply.len(),
+        limit = MAX_MESSAGE_BYTES,
+        remedy = "the caller was told; report this"
+    );
+    outbox.push_too_large(number, reply.len(), now);
+}
