Copy records between keepers in pages of bytes

Callers saw: after three keepers had lost their disks one after the other, each with the time to catch up, all turns of 160,000 bytes were gone (404).

Cause: a keeper that catches up asked for 256 records at once, counted and not measured. From 131 kB a turn on the reply was over the 16 MiB of a frame. The answering side closed the connection, and the follower took it for unreachable and asked the same again after 0.1 s, without end.

Change: a reply with records ends with the record that makes it 1 MiB, and the rest is asked for again. A replica whose reply is too large for a message is not marked unreachable; the error is logged and tried again after 5 s.

--- a/crates/gradedyke-turns/src/index/lookup.rs
+++ b/crates/gradedyke-turns/src/index/lookup.rs
@@ -17,6 +17,17 @@
     OnDisk(Location),
 }
 
+impl Lookup {
+    /// Returns the size of the record's body in bytes; of a record that is only on disk, the size
+    /// of the whole record.
+    pub fn byte_len(&self) -> usize {
+        match self {
+            Lookup::InMemory(record) => record.body_bytes(),
+            Lookup::OnDisk(location) => location.len as usize,
+        }
+    }
+}
+
 impl Index {
     /// Returns the record with `key`, or `None` if the index does not contain it. A
     /// reservation or settlement gets the remaining retention time of its program at `now`.
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -15,6 +15,10 @@
 use crate::usage::{self, Total};
 use crate::view::{DiskId, View};
 
+/// Size in bytes from which a page of records is full. A page has at least one record, whatever
+/// its size. A link of 130 Mbit/s carries such a page in 65 ms.
+pub const FULL_PAGE_BYTES: usize = 1 << 20;
+
 /// Asks to begin an attempt at a turn.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Begin {
@@ -156,7 +160,8 @@
     Chain(Option<Transcript>),
     /// Keys of stored records.
     Keys(Keys),
-    /// The requested records that the replica has.
+    /// The first of the requested records that the replica has, up to a full page. None if it
+    /// has none of them.
     Records(Vec<Record>),
     /// Changes of the sender's mirror.
     News(Update),
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -15,7 +15,7 @@
 use crate::index::{self, Index, Lookup, Position};
 use crate::load::{Aggregator, Report, ServerLoad};
 use crate::log::{self, Location, Log};
-use crate::message::{Begin, Found, Keys, Reply, Request};
+use crate::message::{Begin, FULL_PAGE_BYTES, Found, Keys, Reply, Request};
 use crate::mirror::Mirror;
 use crate::pending::PendingSegments;
 use crate::pressure::Pressure;
@@ -340,18 +340,15 @@
         result.ok()
     }
 
-    /// Returns the records of those `keys` that this replica has; `None` if the disk fails.
+    /// Returns the records of the first of those `keys` that this replica has, up to a full page;
+    /// `None` if the disk fails.
     async fn records(&self, keys: &[Key]) -> Option<Vec<Record>> {
         let mut records = Vec::new();
         let mut stored = Vec::new();
-        {
-            let mut index = self.index();
-            let now = Instant::now();
-            for answer in keys.iter().filter_map(|k| index.record(k, now)) {
-                match answer {
-                    Lookup::InMemory(record) => records.push(record),
-                    Lookup::OnDisk(location) => stored.push(location),
-                }
+        for lookup in self.look_up_page(keys) {
+            match lookup {
+                Lookup::InMemory(record) => records.push(record),
+                Lookup::OnDisk(location) => stored.push(location),
             }
         }
         if !stored.is_empty() {
@@ -360,6 +357,22 @@
         Some(records)
     }
 
+    /// Looks up the first of `keys` that this replica has, up to a full page.
+    fn look_up_page(&self, keys: &[Key]) -> Vec<Lookup> {
+        let mut index = self.index();
+        let now = Instant::now();
+        let mut page = Vec::new();
+        let mut bytes = 0;
+        for lookup in keys.iter().filter_map(|k| index.record(k, now)) {
+            bytes += lookup.byte_len();
+            page.push(lookup);
+            if bytes >= FULL_PAGE_BYTES {
+                break;
+            }
+        }
+        page
+    }
+
     async fn store_in_view(
         &self,
         view: u64,
--- a/crates/gradedyke-turns/src/sync.rs
+++ b/crates/gradedyke-turns/src/sync.rs
@@ -2,7 +2,9 @@
 //!
 //! Records are normally sent to all replicas by the process that serves the turn, so
 //! a follower already has most of what another replica has. It therefore fetches only
-//! keys, and then the records that are still missing after a short delay.
+//! keys, and then the records that are still missing after a short delay. A reply with records
+//! ends with the record that makes it a full page, and the rest is requested again, so that the
+//! size of replies does not depend on the size of the records.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +16,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::log;
 use crate::message::{self, Keys, Reply, Request};
 use crate::record::{Key, Record};
 use crate::replica::Replica;
@@ -28,9 +31,12 @@
 /// Interval at which a spare or a recovering replica checks whether the members are
 /// reachable.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
-/// Maximum number of records fetched in one call. Half a megabyte, which a link of 130 Mbit/s
-/// carries in 32 ms.
+/// Maximum number of records requested in one call. Usual ones take half a megabyte, so that the
+/// size of a page limits only large ones.
 const MAX_RECORDS_PER_CALL: usize = 256;
+/// Delay before a call is repeated whose reply was too large to be sent. Repeating it does not
+/// help before the record has expired.
+const TOO_LARGE_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// How far a replica has synced from another.
 #[derive(Clone, Copy, Debug, Default)]
@@ -42,6 +48,35 @@
     pub unreachable_since: Option<Instant>,
 }
 
+/// Why records were not synced.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// The call failed.
+    #[error(transparent)]
+    Call(#[from] gradedyke_peer::Error),
+    /// The other replica failed to answer.
+    #[error("the replica failed: {0}")]
+    Failed(String),
+    /// The other replica is starting or overloaded, or its reply cannot be decoded.
+    #[error("the replica is not ready; retry soon, or run the same version on all instances")]
+    NotReady,
+    /// The records could not be stored on the own disk.
+    #[error(transparent)]
+    NotStored(#[from] log::Error),
+}
+
+impl Error {
+    /// Whether the other replica cannot serve its records. It can if only a reply is too large, or
+    /// if the own disk fails.
+    fn is_replica_lost(&self) -> bool {
+        match self {
+            Error::Call(error) => !error.is_too_large(),
+            Error::Failed(_) | Error::NotReady => true,
+            Error::NotStored(_) => false,
+        }
+    }
+}
+
 /// Syncs records from another replica and monitors whether it is reachable.
 pub struct Follower {
     replica: Arc<Replica>,
@@ -84,24 +119,40 @@
                 continue;
             }
             match self.sync_page(boot, from).await {
-                Some(keys) => {
+                Ok(keys) => {
                     self.update_progress(&keys);
                     (boot, from) = (keys.boot, keys.next);
                 }
-                None => {
-                    self.mark_unreachable();
-                    tokio::time::sleep(RETRY_DELAY).await;
+                Err(error) => {
+                    let delay = self.record_failure(&error);
+                    tokio::time::sleep(delay).await;
                 }
             }
         }
     }
 
+    /// Records a failure to sync. Returns the delay before the next try.
+    fn record_failure(&self, error: &Error) -> Duration {
+        if error.is_replica_lost() {
+            self.mark_unreachable(error);
+            return RETRY_DELAY;
+        }
+        self.mark_reachable();
+        tracing::error!(
+            event = "records_not_copied",
+            disk = self.peer_disk,
+            %error,
+            remedy = "copies are missing on this disk; report this"
+        );
+        TOO_LARGE_RETRY_DELAY
+    }
+
     /// Only checks whether the other replica is reachable. A spare needs no records, and
     /// a replica that is still reading its disk would fetch records that it has.
     async fn ping(&self) {
         match self.call(&Request::Hello).await {
-            Some(_) => self.mark_reachable(),
-            None => self.mark_unreachable(),
+            Ok(_) => self.mark_reachable(),
+            Err(error) => self.mark_unreachable(&error),
         }
         tokio::time::sleep(PING_INTERVAL).await;
     }
@@ -123,21 +174,22 @@
         });
     }
 
-    fn mark_unreachable(&self) {
+    fn mark_unreachable(&self, error: &Error) {
         self.progress.send_modify(|progress| {
             if progress.unreachable_since.is_none() {
                 tracing::warn!(event = "replica_lost", disk = self.peer_disk,
-                    address = %self.client.address());
+                    address = %self.client.address(), %error);
                 progress.unreachable_since = Some(Instant::now());
             }
         });
     }
 
     /// Fetches a page of keys and the records of those that are missing here.
-    async fn sync_page(&self, boot: u64, from: u64) -> Option<Keys> {
+    async fn sync_page(&self, boot: u64, from: u64) -> Result<Keys, Error> {
         let disk = self.replica.disk();
-        let Reply::Keys(keys) = self.call(&Request::Keys { disk, boot, from }).await? else {
-            return None;
+        let reply = self.call(&Request::Keys { disk, boot, from }).await?;
+        let Reply::Keys(keys) = reply else {
+            return Err(failure(reply));
         };
         let mut not_on_disk = self.not_on_disk(&keys.keys);
         if !not_on_disk.is_empty() && self.is_active() {
@@ -145,7 +197,7 @@
             not_on_disk = self.not_on_disk(&not_on_disk);
         }
         if not_on_disk.is_empty() {
-            return Some(keys);
+            return Ok(keys);
         }
         let _guard = self.replica.lock_fetch().await;
         // Some may have been fetched from another replica in the meantime.
@@ -153,7 +205,7 @@
         for chunk in not_on_disk.chunks(MAX_RECORDS_PER_CALL) {
             self.fetch(chunk.to_vec()).await?;
         }
-        Some(keys)
+        Ok(keys)
     }
 
     /// Returns those of `keys` whose records aren't on disk here.
@@ -179,31 +231,41 @@
         view.find(self.replica.disk()).is_some_and(|m| m.active)
     }
 
-    /// Fetches the records of `keys` and stores them; `None` if anything failed.
-    async fn fetch(&self, keys: Vec<Key>) -> Option<()> {
-        let requested = keys.len();
-        let reply = self.call(&Request::Records(keys)).await;
-        let Some(Reply::Records(records)) = reply else {
-            tracing::warn!(
-                event = "records_not_fetched",
-                disk = self.peer_disk,
-                asked = requested,
-                answered = reply.is_some()
-            );
-            return None;
+    /// Fetches and stores those of the records of `keys` that the other replica still has, a page
+    /// at a time.
+    async fn fetch(&self, mut keys: Vec<Key>) -> Result<(), Error> {
+        while !keys.is_empty() {
+            let records = self.fetch_page(&keys).await?;
+            let results = join_all(records.iter().map(|r| self.replica.store(r))).await;
+            results.into_iter().collect::<Result<Vec<()>, _>>()?;
+            let remaining = self.not_on_disk(&keys);
+            // The others have expired there.
+            if remaining.len() == keys.len() {
+                break;
+            }
+            keys = remaining;
+        }
+        Ok(())
+    }
+
+    async fn fetch_page(&self, keys: &[Key]) -> Result<Vec<Record>, Error> {
+        let reply = self.call(&Request::Records(keys.to_vec())).await?;
+        let Reply::Records(records) = reply else {
+            return Err(failure(reply));
         };
+        let bytes: usize = records.iter().map(Record::body_bytes).sum();
+        metrics::counter!("gradedyke_synced_bytes_total").increment(bytes as u64);
         tracing::info!(
             event = "records_fetched",
             disk = self.peer_disk,
-            asked = requested,
+            asked = keys.len(),
             found = records.len(),
-            bytes = records.iter().map(Record::body_bytes).sum::<usize>()
+            bytes
         );
-        let results = join_all(records.iter().map(|r| self.replica.store(r))).await;
-        results.into_iter().all(|r| r.is_ok()).then_some(())
+        Ok(records)
     }
 
-    async fn call(&self, request: &Request) -> Option<Reply> {
+    async fn call(&self, request: &Request) -> Result<Reply, Error> {
         let reply = self
             .client
             .call(message::encode(request), CALL_TIMEOUT)
@@ -211,6 +273,14 @@
         let reply = reply.inspect_err(|error| {
             tracing::debug!(event = "replica_call_failed", disk = self.peer_disk, %error);
         });
-        message::decode(&reply.ok()?)
+        message::decode(&reply?).ok_or(Error::NotReady)
+    }
+}
+
+/// The error of a reply that does not answer the request.
+fn failure(reply: Reply) -> Error {
+    match reply {
+        Reply::Failed(reason) => Error::Failed(reason),
+        _ => Error::NotReady,
     }
 }
--- a/crates/gradedyke-turns/tests/quorum/main.rs
+++ b/crates/gradedyke-turns/tests/quorum/main.rs
@@ -1,8 +1,10 @@
 //! Attempts and records with real replicas over loopback, some of which fail.
 //!
+//! - `large`: turns that are larger than a page or a message.
 //! - `replicas`: replicas that sync with each other, start up, or are overloaded.
 //! - `relay`: entries that reach replicas through other entries.
 
+mod large;
 mod relay;
 mod replicas;
 
