Bound the records and segments of a keeper's log when they are written

Callers would have seen: a turn over 64 MiB acknowledged and then lost, with all later records of its segment; keepers that end for their memory at each start after many large turns at one moment.

Cause: the limit of a record was checked on reading only, and a segment held whatever was queued when its last batch was written.

Change: Error::TooLarge before anything is written; a batch ends with the record that makes it 2 MiB; records of a batch are not copied into one buffer.

--- a/crates/gradedyke-turns/src/log/mod.rs
+++ b/crates/gradedyke-turns/src/log/mod.rs
@@ -49,7 +49,8 @@
 const WRITE_QUEUE_LEN: usize = 4_096;
 /// Size of a record's header, its length and checksum, in bytes.
 const RECORD_HEADER_BYTES: usize = 8;
-/// Maximum length of a record body in bytes. A greater length is treated as corruption.
+/// Maximum length of a record body in bytes. A longer record is not written, and a greater length
+/// on disk is treated as corruption.
 const MAX_RECORD_BYTES: usize = 64 << 20;
 
 /// Errors of the log.
@@ -61,6 +62,9 @@
     /// A record cannot be read.
     #[error("cannot read a record from the log ({0}); check the disk; other replicas have copies")]
     Read(io::Error),
+    /// The record has this size, which is too large; it was not written.
+    #[error("a record of {0} bytes is too large to be stored; store less in one turn")]
+    TooLarge(usize),
     /// A write failed. What is on disk is unknown until the process is restarted.
     #[error("cannot write to the log; no more records are stored until the process is restarted")]
     Write,
@@ -205,13 +209,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Write`] if the write failed. The record may or may not be on disk.
+    /// Returns [`Error::TooLarge`] if the record is too large, or [`Error::Write`] if the write
+    /// failed. After the latter the record may or may not be on disk.
     pub async fn append(&self, record: &Record) -> Result<Location, Error> {
         let (reply, synced) = oneshot::channel();
-        let write = PendingWrite {
-            bytes: encode_record(record),
-            reply,
-        };
+        let bytes = encode_record(record);
+        if bytes.len() > RECORD_HEADER_BYTES + MAX_RECORD_BYTES {
+            return Err(Error::TooLarge(bytes.len()));
+        }
+        let write = PendingWrite { bytes, reply };
         self.queue.send(write).await.map_err(|_| Error::Write)?;
         match synced.await {
             Ok(Some(location)) => Ok(location),
--- a/crates/gradedyke-turns/src/log/writer.rs
+++ b/crates/gradedyke-turns/src/log/writer.rs
@@ -1,7 +1,7 @@
 //! The thread that writes the log.
 
 use std::fs::File;
-use std::io::{self, Write};
+use std::io::{self, BufWriter, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -13,6 +13,14 @@
     create_segment, saturating_u32,
 };
 
+/// Maximum size of the buffer in which the records of a batch are joined. Larger records are
+/// written without a copy.
+const MAX_BUFFER_BYTES: usize = 256 << 10;
+
+/// Size of a batch from which no further record is added. A batch is in one segment, and
+/// segments are read as a whole.
+const MAX_BATCH_BYTES: usize = 2 << 20;
+
 /// A record to be written.
 pub(super) struct PendingWrite {
     /// The encoded record with its header.
@@ -54,8 +62,12 @@
     /// Writes records in batches until the channel is closed or a write fails.
     pub(super) fn run(mut self, mut pending: mpsc::Receiver<PendingWrite>) {
         while let Some(first) = pending.blocking_recv() {
+            let mut batch_bytes = first.bytes.len();
             let mut batch = vec![first];
-            while let Ok(next) = pending.try_recv() {
+            while batch_bytes < MAX_BATCH_BYTES
+                && let Ok(next) = pending.try_recv()
+            {
+                batch_bytes += next.bytes.len();
                 batch.push(next);
             }
             let written = self.write_batch(&batch);
@@ -96,11 +108,12 @@
             self.rotate()?;
         }
         let batch_bytes: usize = batch.iter().map(|w| w.bytes.len()).sum();
-        let mut joined = Vec::with_capacity(batch_bytes);
+        let mut writer = BufWriter::with_capacity(batch_bytes.min(MAX_BUFFER_BYTES), &self.file);
         for write in batch {
-            joined.extend_from_slice(&write.bytes);
+            writer.write_all(&write.bytes)?;
         }
-        self.file.write_all(&joined)?;
+        writer.flush()?;
+        drop(writer);
         self.file.sync_data()?;
         let first_offset = self.segment_bytes;
         self.segment_bytes += batch_bytes;
--- a/crates/gradedyke-turns/tests/log.rs
+++ b/crates/gradedyke-turns/tests/log.rs
@@ -3,7 +3,7 @@
 use std::fs::{self, OpenOptions};
 use std::path::Path;
 
-use gradedyke_turns::log::{Location, Log};
+use gradedyke_turns::log::{Error, Location, Log};
 use gradedyke_turns::record::{Id, Record, Reserved, Turn};
 
 fn id(text: &str) -> Id {
@@ -58,6 +58,36 @@
         .unwrap()
 }
 
+/// A record over the size limit was written, and then taken for the damaged end of its segment.
+#[tokio::test]
+async fn oversized_record_is_rejected_and_others_are_stored() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = open(folder.path());
+    let small = turn("small", 1);
+    log.append(&small).await.unwrap();
+    let rejected = log.append(&turn("large", 64 << 20)).await;
+    assert!(matches!(rejected, Err(Error::TooLarge(_))));
+    let location = log.append(&turn("last", 1)).await.unwrap();
+    let segment = log.read_segment(location.segment).unwrap();
+    assert_eq!(segment.len(), 2);
+}
+
+/// Segments are read as a whole, so one that holds many large records would take all memory.
+#[tokio::test]
+async fn concurrent_large_records_are_spread_over_segments() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = open(folder.path());
+    // The others are queued while the first one is written.
+    let mut records = vec![turn("first", 60 << 20)];
+    records.extend((0..24).map(|n| turn(&format!("t{n}"), 1 << 20)));
+    let appended = futures_util::future::join_all(records.iter().map(|r| log.append(r))).await;
+    let locations: Vec<_> = appended.into_iter().map(Result::unwrap).collect();
+    let end = |l: &Location| l.offset + l.len;
+    let longest = locations[1..].iter().map(end).max().unwrap();
+    // A segment of up to 2 MiB and a batch that ends with the record that makes it 2 MiB.
+    assert!(longest <= 6 << 20, "a segment has {longest} bytes");
+}
+
 #[tokio::test]
 async fn appended_records_survive_a_restart() {
     let folder = tempfile::tempdir().unwrap();
