Read conversations in pages; refuse what cannot be stored or read again

Callers saw: with the fifth turn of 4,000,000 bytes, within max_body_bytes, a conversation passed 16 MiB and was refused with 503 no_keepers at every try.

Cause: a keeper sent a conversation in one message, and one over the largest frame closed the connection, as if the keeper were lost. A turn over 16 MiB could be neither stored nor read, and nobody was told why.

Change: a conversation over 1 MiB is read in pages of at least one turn, by the deadline of the call, from the next keeper that has it if one is lost. With 64 MiB including the new input it is refused at once with 413 conversation_too_large; an input over 61 MiB of a stored turn with 413 too_large, whatever max_body_bytes says; a stream that grows over 63 MiB is broken off there. A follower of the mirror decodes whatever a message holds.

tests/recovery.rs: a conversation of 6 MiB before recovery now comes in pages. The test reads them and checks length and end as before, and in addition that pages are served as the first requests to a replica that has read nothing.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -31,6 +31,7 @@
 use gradedyke_http::{Body, body};
 use gradedyke_turns::mirror::Mirror;
 use gradedyke_turns::quorum::Coordinator;
+use gradedyke_turns::record::MAX_TURN_BYTES;
 use http::{Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -70,6 +71,9 @@
 /// 2.5 ms in 5 s) and the usual time from a request's arrival to its start at a server.
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(100);
 
+/// Maximum size of the input of a turn that is stored. Leaves room for the output.
+const MAX_STORED_INPUT_BYTES: usize = MAX_TURN_BYTES - (2 << 20);
+
 /// Returns the greatest age of the local data at which API keys are still accepted, if a
 /// revoked key must stop working within `revocation`.
 pub fn max_key_age(revocation: Duration, mechanisms: Mechanisms) -> Duration {
@@ -79,6 +83,16 @@
     revocation.mul_f64(MAX_KEY_AGE_RATIO)
 }
 
+/// Returns the maximum size of a request's body. A turn that is stored must be small enough to be
+/// read again, whatever the configuration allows.
+fn max_body_bytes(config: &Config, route: &Route) -> usize {
+    let configured = config.limits.max_body_bytes;
+    match route.retention {
+        Some(_) => configured.min(MAX_STORED_INPUT_BYTES),
+        None => configured,
+    }
+}
+
 /// State of a process in the entry role: it accepts callers' requests and forwards them to
 /// backend servers.
 pub struct Entry {
@@ -258,6 +272,15 @@
             services = config.services.len(),
             keys = config.accounts.as_ref().map_or(0, Directory::len)
         );
+        if config.limits.max_body_bytes > MAX_STORED_INPUT_BYTES {
+            tracing::warn!(
+                event = "body_limit_reduced",
+                version = config.version,
+                configured = config.limits.max_body_bytes,
+                stored_turns = MAX_STORED_INPUT_BYTES,
+                remedy = "lower max_body_bytes; larger inputs of stored turns are refused"
+            );
+        }
         self.config.store(Some(Arc::new(config)));
     }
 
@@ -386,7 +409,7 @@
         let timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let deadline = arrived + timeout;
         let body_timeout = timeout.min(config.limits.idle_timeout);
-        let body = body::collect(incoming, config.limits.max_body_bytes, body_timeout).await;
+        let body = body::collect(incoming, max_body_bytes(&config, &route), body_timeout).await;
         let body = body.map_err(|problem| {
             tracing::info!(event = "body_not_read", request = %id, problem = %problem.message);
             match problem.kind {
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -40,6 +40,9 @@
     ServiceFull(Duration),
     /// The turn that the request continues does not exist.
     TurnNotFound,
+    /// The conversation with the new input is larger than can be sent to a server. The request
+    /// has not run.
+    ConversationTooLarge,
     /// The token budget of the program is used up.
     BudgetExceeded,
     /// The deadline passed before the request could be sent.
@@ -76,6 +79,7 @@
             Refusal::Throttled => "overload",
             Refusal::ServiceFull(_) => "service_full",
             Refusal::TurnNotFound => "no_turn",
+            Refusal::ConversationTooLarge => "conversation_too_large",
             Refusal::BudgetExceeded => "spent",
             Refusal::TooLate => "too_late",
             Refusal::Interrupted => "broken",
@@ -94,7 +98,7 @@
             Refusal::Unauthorized => StatusCode::UNAUTHORIZED,
             Refusal::AllowanceExceeded => StatusCode::TOO_MANY_REQUESTS,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
-            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLarge | Refusal::ConversationTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BudgetExceeded => StatusCode::PAYMENT_REQUIRED,
             Refusal::Interrupted => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -173,6 +177,9 @@
                 "no program can begin now because the backend servers are full; come back then"
             }
             Refusal::TurnNotFound => "there is no such turn; start a new conversation",
+            Refusal::ConversationTooLarge => {
+                "the conversation is too large to be continued; start a new one"
+            }
             Refusal::BudgetExceeded => "the program's budget is spent; end it",
             Refusal::TooLate => "the time was over before the request could be sent",
             Refusal::Interrupted => "the backend server broke off; the request may have run",
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -7,7 +7,8 @@
 use bytes::{Bytes, BytesMut};
 use gradedyke_http::body::Sender;
 use gradedyke_http::{Body, body};
-use gradedyke_turns::record::{Record, Turn};
+use gradedyke_turns::message;
+use gradedyke_turns::record::{MAX_TURN_BYTES, Record, Turn};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -263,6 +264,11 @@
                 self.last_event_id = event_id
                     .map(Bytes::copy_from_slice)
                     .or(self.last_event_id.take());
+                if self.is_too_large() {
+                    tracing::warn!(event = "turn_too_large", request = %self.call.id,
+                        input = self.call.body.len(), output = self.output.len());
+                    return End::NotStored;
+                }
                 if !self.send_event(event).await {
                     return End::CallerDisconnected;
                 }
@@ -283,6 +289,12 @@
         End::Complete
     }
 
+    /// Whether the turn is to be stored and has become too large for it.
+    fn is_too_large(&self) -> bool {
+        let bytes = self.call.body.len() + self.output.len();
+        self.call.route.retention.is_some() && bytes > MAX_TURN_BYTES
+    }
+
     /// Sends the remaining bytes of an error response.
     async fn send_remainder(&self, remainder: Bytes) -> End {
         if remainder.is_empty() || self.send_event(remainder).await {
@@ -367,7 +379,8 @@
             keep_ms: retention_ms(&self.call),
         });
         let started = Instant::now();
-        let deadline = self.call.deadline.min(started + STORE_TIMEOUT);
+        let timeout = STORE_TIMEOUT + message::transfer_time(record.body_bytes());
+        let deadline = self.call.deadline.min(started + timeout);
         let limiter = &self.entry.limiter;
         let usage_report = self.call.charge.map(|c| limiter.report(&c, started));
         let (usage, snapshot) = usage_report.unzip();
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use gradedyke_http::Body;
 use gradedyke_turns::conversation::Transcript;
 use gradedyke_turns::quorum::{self, BeginParams};
@@ -41,11 +40,7 @@
 /// the caller before.
 pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
     let (transcript, reservation, is_late) = begin_turn(entry, &call).await?;
-    let body = match &transcript {
-        Some(transcript) => concat(&transcript.body, &call.body),
-        None => call.body.clone(),
-    };
-    let upstream = StreamRequest::new(transcript, body, is_late);
+    let upstream = StreamRequest::new(transcript, &call.body, is_late);
     let response = match upstream.open(entry, &call, None).await {
         Ok(response) => response,
         Err(refusal) => {
@@ -57,13 +52,6 @@
     Ok(relay::start(entry, call, reservation, upstream, response))
 }
 
-fn concat(first: &Bytes, second: &Bytes) -> Bytes {
-    let mut body = BytesMut::with_capacity(first.len() + second.len());
-    body.extend_from_slice(first);
-    body.extend_from_slice(second);
-    body.freeze()
-}
-
 /// Reserves tokens in the program's budget and reads the conversation so far, in one exchange
 /// with the keepers. Also returns whether the program can no longer end in time.
 async fn begin_turn(
@@ -84,11 +72,13 @@
     let params = BeginParams {
         reservation: budget_request,
         parent,
+        input_bytes: call.body.len(),
         is_first_turn: Call::is_program_start(&call.route, &call.meta),
         load: entry.fleet.load_report(started),
         usage,
         try_timeout: BEGIN_TIMEOUT,
         deadline: call.deadline.min(started + TOTAL_BEGIN_TIMEOUT),
+        conversation_deadline: call.deadline,
     };
     let result = entry.quorum.begin(&params).await;
     if let Some((pressure, at)) = entry.quorum.pressure() {
@@ -136,6 +126,9 @@
             Err(match error {
                 quorum::Error::TurnNotFound => Refusal::TurnNotFound,
                 quorum::Error::BudgetExceeded { .. } => Refusal::BudgetExceeded,
+                quorum::Error::ConversationTooLarge { .. } | quorum::Error::TurnTooLarge(_) => {
+                    Refusal::ConversationTooLarge
+                }
                 quorum::Error::Indeterminate
                 | quorum::Error::Starting
                 | quorum::Error::Busy
--- a/crates/gradedyke-gateway/src/entry/upstream.rs
+++ b/crates/gradedyke-gateway/src/entry/upstream.rs
@@ -1,6 +1,6 @@
 //! Opens a stream at a backend server, and resumes it at another.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use gradedyke_turns::conversation::Transcript;
 use gradedyke_turns::record::Id;
 use tokio::time::Instant;
@@ -11,19 +11,35 @@
 use super::refusal::Refusal;
 use crate::fleet::Query;
 
+/// The stored conversation that a request continues.
+struct Continued {
+    /// Its size in bytes.
+    bytes: usize,
+    /// ID of the incarnation of the backend server that ran its last turn.
+    server: Id,
+}
+
 /// The request for a stream, with the servers it was sent to.
 pub(super) struct StreamRequest {
-    transcript: Option<Transcript>,
+    continued: Option<Continued>,
     body: Bytes,
     attempts: Attempts,
 }
 
 impl StreamRequest {
-    /// Creates the request with this complete `body`. `transcript` is the stored conversation that
-    /// it continues, `is_late` whether its program can no longer end in time.
-    pub(super) fn new(transcript: Option<Transcript>, body: Bytes, is_late: bool) -> Self {
+    /// Creates the request with this new `input`. `transcript` is the stored conversation that it
+    /// continues, `is_late` whether its program can no longer end in time.
+    pub(super) fn new(transcript: Option<Transcript>, input: &Bytes, is_late: bool) -> Self {
+        let continued = transcript.as_ref().map(|transcript| Continued {
+            bytes: transcript.body.len(),
+            server: transcript.server.clone(),
+        });
+        let body = match transcript {
+            Some(transcript) => append(transcript.body, input),
+            None => input.clone(),
+        };
         Self {
-            transcript,
+            continued,
             body,
             attempts: Attempts::new(is_late),
         }
@@ -38,7 +54,7 @@
         call: &Call,
         last_event_id: Option<&[u8]>,
     ) -> Result<ServerResponse, Refusal> {
-        let query = server_query(call, self.transcript.as_ref());
+        let query = server_query(call, self.continued.as_ref());
         loop {
             let (attempts, body) = (&self.attempts, &self.body);
             let result =
@@ -58,11 +74,21 @@
     }
 }
 
+/// Appends the new input to the stored conversation. A large conversation comes with room for the
+/// input and is not copied.
+fn append(conversation: Bytes, input: &Bytes) -> Bytes {
+    let mut body = conversation
+        .try_into_mut()
+        .unwrap_or_else(|shared| BytesMut::from(&shared[..]));
+    body.extend_from_slice(input);
+    body.freeze()
+}
+
 /// Estimates how many prompt tokens belong to the stored conversation, by its share of the
 /// bytes. The server that ran the conversation's last turn has these tokens in its cache.
-fn cached_tokens(call: &Call, transcript: &Transcript) -> u64 {
+fn cached_tokens(call: &Call, continued: &Continued) -> u64 {
     let prompt = call.meta.size.map_or(0, |s| s.prompt_tokens);
-    let (stored_bytes, new_bytes) = (transcript.body.len() as u64, call.body.len() as u64);
+    let (stored_bytes, new_bytes) = (continued.bytes as u64, call.body.len() as u64);
     (prompt * stored_bytes)
         .checked_div(stored_bytes + new_bytes)
         .unwrap_or(0)
@@ -75,14 +101,14 @@
 }
 
 /// Builds the query by which the fleet chooses a server for the request.
-fn server_query<'a>(call: &'a Call, transcript: Option<&'a Transcript>) -> Query<'a> {
+fn server_query<'a>(call: &'a Call, continued: Option<&'a Continued>) -> Query<'a> {
     Query {
         service: &call.service,
         request_id: &call.id,
         excluded: &[],
-        cached_on: transcript.map(|c| &c.server),
+        cached_on: continued.map(|c| &c.server),
         prompt_tokens: call.meta.size.map_or(0, |s| s.prompt_tokens),
-        cached_tokens: transcript.map_or(0, |c| cached_tokens(call, c)),
+        cached_tokens: continued.map_or(0, |c| cached_tokens(call, c)),
         parts: &call.meta.parts,
         session: unstored_session(call),
         is_engine: true,
--- a/crates/gradedyke-turns/src/conversation.rs
+++ b/crates/gradedyke-turns/src/conversation.rs
@@ -19,6 +19,23 @@
     pub server: Id,
 }
 
+/// Maximum size of a conversation with the new input of its next turn, in bytes. A turn of the
+/// largest size can be continued.
+pub const MAX_CONVERSATION_BYTES: usize = gradedyke_peer::MAX_MESSAGE_BYTES;
+
+/// Consecutive turns of a conversation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Text of the inputs and outputs of these turns.
+    pub body: Bytes,
+    /// Number of turns of the conversation up to the end of this page; `None` at its end.
+    pub next: Option<u32>,
+    /// Upper bound on the size of the whole conversation, in bytes.
+    pub conversation_bytes: u64,
+    /// ID of the incarnation of the backend server that ran the last turn of the conversation.
+    pub server: Id,
+}
+
 /// The body of a turn, or its location if it is only on disk.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TurnBody {
@@ -38,7 +55,42 @@
     pub server: Id,
 }
 
+impl TurnBody {
+    /// Returns the size of the turn in bytes; of one that is only on disk, the size of its record.
+    fn byte_len(&self) -> usize {
+        match self {
+            TurnBody::InMemory(body) => body.byte_len(),
+            TurnBody::OnDisk(location) => location.len as usize,
+        }
+    }
+}
+
 impl Conversation {
+    /// Returns an upper bound on the size of the conversation in bytes, which is close to it.
+    pub fn byte_len(&self) -> usize {
+        self.turns.iter().map(|(_, turn)| turn.byte_len()).sum()
+    }
+
+    /// Returns the turns from number `from` on, up to the first one with which they have
+    /// `full_bytes`, and the number of the turn after them; `None` at the end.
+    #[must_use]
+    pub fn page(&self, from: usize, full_bytes: usize) -> (Self, Option<usize>) {
+        let rest = self.turns.get(from..).unwrap_or_default();
+        let mut bytes = 0;
+        let is_within_page = |(_, turn): &&(Id, TurnBody)| {
+            let is_first_or_fits = bytes < full_bytes;
+            bytes += turn.byte_len();
+            is_first_or_fits
+        };
+        let turns: Vec<_> = rest.iter().take_while(is_within_page).cloned().collect();
+        let next = from + turns.len();
+        let page = Self {
+            turns,
+            server: self.server.clone(),
+        };
+        (page, (next < self.turns.len()).then_some(next))
+    }
+
     /// Returns the locations of the turns that have to be read from disk, oldest first.
     pub fn disk_locations(&self) -> Vec<Location> {
         let locations = self.turns.iter().filter_map(|(_, turn)| match turn {
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -102,10 +102,16 @@
     Unreachable,
 }
 
-/// Calls the replica at `to` through `neighbour`.
-async fn call_through(neighbour: &Client, to: SocketAddr, body: Bytes) -> ForwardingOutcome {
+/// Calls the replica at `to` through `neighbour`, whose reply may have `reply_bytes` bytes.
+async fn call_through(
+    neighbour: &Client,
+    to: SocketAddr,
+    body: Bytes,
+    reply_bytes: usize,
+) -> ForwardingOutcome {
+    let timeout = NEIGHBOUR_CALL_TIMEOUT + message::transfer_time(body.len() + reply_bytes);
     let request = message::encode(&Request::Via { to, body });
-    let reply = neighbour.call(request, NEIGHBOUR_CALL_TIMEOUT).await;
+    let reply = neighbour.call(request, timeout).await;
     let reply = reply.inspect_err(|error| {
         tracing::debug!(event = "detour_failed", keeper = %to, %error);
     });
@@ -129,6 +135,8 @@
     required_replies: usize,
     /// The neighbour that last forwarded a request successfully; shared with other clients.
     last_neighbour: Arc<Mutex<Option<SocketAddr>>>,
+    /// Expected size of replies in bytes, if they may be large.
+    reply_bytes: usize,
 }
 
 impl ReplicaClient {
@@ -155,6 +163,17 @@
             active_replicas,
             required_replies,
             last_neighbour,
+            reply_bytes: 0,
+        }
+    }
+
+    /// Allows for the time that replies of this size take through neighbours, which receive a
+    /// message completely before they forward it.
+    #[must_use]
+    pub fn expecting(self, reply_bytes: usize) -> Self {
+        Self {
+            reply_bytes,
+            ..self
         }
     }
 
@@ -220,7 +239,8 @@
             return None;
         }
         for neighbour in &self.neighbours {
-            match call_through(neighbour, self.replica, body.clone()).await {
+            let (to, reply_bytes) = (self.replica, self.reply_bytes);
+            match call_through(neighbour, to, body.clone(), reply_bytes).await {
                 ForwardingOutcome::Reply(reply) => {
                     self.record_neighbour(neighbour.address());
                     return Some(reply);
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -1,12 +1,13 @@
 //! Requests to a replica and its replies.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::conversation::Transcript;
+use crate::conversation::{Page, Transcript};
 use crate::index::{Attempt, Position};
 use crate::load::{Report, ServerLoad};
 use crate::mirror::{Cursor, Update};
@@ -15,10 +16,19 @@
 use crate::usage::{self, Total};
 use crate::view::{DiskId, View};
 
-/// Size in bytes from which a page of records is full. A page has at least one record, whatever
-/// its size. A link of 130 Mbit/s carries such a page in 65 ms.
+/// Size in bytes from which a page of records, or of a conversation, is full. A page has at least
+/// one record or turn, whatever its size. A link of 130 Mbit/s carries such a page in 65 ms.
 pub const FULL_PAGE_BYTES: usize = 1 << 20;
 
+/// Rate at which a large message is transferred at least, in bytes per second: half the rate of
+/// the slowest known link, of 130 Mbit/s.
+const MIN_TRANSFER_RATE: f64 = 8e6;
+
+/// Returns how long the transfer of `bytes` bytes may take.
+pub fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MIN_TRANSFER_RATE)
+}
+
 /// Asks to begin an attempt at a turn.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Begin {
@@ -69,7 +79,7 @@
     /// Reports the requests that the sender admitted for client accounts, and asks for the
     /// total of one account.
     Usage(usage::Report),
-    /// Reads a conversation.
+    /// Reads a conversation, or its first page if it has several.
     Chain(Id),
     /// Reads the keys of stored records.
     Keys {
@@ -98,6 +108,13 @@
         /// The records.
         records: Vec<Record>,
     },
+    /// Reads a page of a conversation.
+    ChainPage {
+        /// The last turn of the conversation.
+        turn: Id,
+        /// Number of turns of the conversation before the page.
+        from: u32,
+    },
 }
 
 /// Whether a replica has a turn, with the conversation if requested.
@@ -109,6 +126,9 @@
     Here,
     /// The replica has the turn; the conversation is included.
     Whole(Transcript),
+    /// The replica has the turn; the conversation has about this many bytes and must be read in
+    /// pages.
+    Large(u64),
 }
 
 /// A page of record keys.
@@ -174,6 +194,8 @@
     /// The replica is overloaded and did not process the request; with the share of attempts
     /// that it rejected recently.
     Busy(Pressure),
+    /// A page of the conversation; `None` if the replica does not have it.
+    ChainPage(Option<Page>),
 }
 
 /// Encodes a message.
--- a/crates/gradedyke-turns/src/mirror/packed.rs
+++ b/crates/gradedyke-turns/src/mirror/packed.rs
@@ -9,8 +9,9 @@
 const COMPRESSION_THRESHOLD_BYTES: usize = 1 << 10;
 
 /// Largest size of decompressed items, in bytes. Anything larger is rejected before it is
-/// decompressed.
-const MAX_DECOMPRESSED_BYTES: usize = 4 << 20;
+/// decompressed. A page has at least one item, whatever its size, so this is the size of the
+/// largest message.
+const MAX_DECOMPRESSED_BYTES: usize = gradedyke_peer::MAX_MESSAGE_BYTES;
 
 /// Failure to decompress or decode packed items.
 #[derive(Clone, Debug, thiserror::Error)]
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -1,12 +1,14 @@
 //! The client side of replication: begins attempts and writes records to a majority of
 //! replicas.
 //!
-//! - `begin`: reserves tokens for an attempt and reads the conversation it continues.
+//! - `begin`: reserves tokens for an attempt.
+//! - `conversation`: reads the conversation that an attempt continues, page by page.
 //! - `store`: writes records and reads usage totals.
 //! - `settle`: reports in the background how many tokens attempts used.
 //! - `gathered`: combines the replies of the replicas.
 
 mod begin;
+mod conversation;
 mod gathered;
 mod settle;
 mod store;
@@ -23,6 +25,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+#[cfg(doc)]
+use crate::conversation::MAX_CONVERSATION_BYTES;
 use crate::conversation::Transcript;
 use crate::detour::ReplicaClient;
 use crate::load::{Report, ServerLoad};
@@ -30,6 +34,8 @@
 use crate::message::{self, Reply, Request};
 use crate::mirror::Mirror;
 use crate::pressure::Pressure;
+#[cfg(doc)]
+use crate::record::MAX_TURN_BYTES;
 use crate::record::{Id, Reserved};
 use crate::usage::{self, Total};
 use crate::view::{DiskId, Member, View};
@@ -48,6 +54,17 @@
     /// The parent turn may exist, but replicas that may have it did not answer.
     #[error("cannot determine whether the parent turn exists; retry soon")]
     Indeterminate,
+    /// The conversation is larger than [`MAX_CONVERSATION_BYTES`] allows.
+    #[error("the conversation has {bytes} bytes, {limit} are allowed; start a new conversation")]
+    ConversationTooLarge {
+        /// Size of the conversation in bytes.
+        bytes: u64,
+        /// Maximum size, less the new input.
+        limit: u64,
+    },
+    /// The record is larger than [`MAX_TURN_BYTES`]; no replica got it.
+    #[error("a turn of {0} bytes is too large to be stored; store less in one turn")]
+    TurnTooLarge(usize),
     /// The program's token budget has no room for the reservation.
     #[error(
         "token budget exceeded: budget {budget}, used {used}, requested {requested}; end the program"
@@ -85,6 +102,8 @@
     pub reservation: Option<(Reserved, u64)>,
     /// The turn whose conversation is continued.
     pub parent: Option<Id>,
+    /// Size in bytes of the input that is added to the conversation.
+    pub input_bytes: usize,
     /// Whether this is believed to be the program's first turn.
     pub is_first_turn: bool,
     /// This entry's load report.
@@ -95,6 +114,8 @@
     pub try_timeout: Duration,
     /// Deadline for retries while no majority acknowledges.
     pub deadline: Instant,
+    /// Deadline for reading a conversation that has several pages.
+    pub conversation_deadline: Instant,
 }
 
 /// Result of [`Coordinator::begin`].
--- a/crates/gradedyke-turns/src/quorum/begin.rs
+++ b/crates/gradedyke-turns/src/quorum/begin.rs
@@ -7,8 +7,7 @@
 use tokio::time::Instant;
 
 use super::gathered::CollectedReplies;
-use super::{BeginParams, BeginResponse, CALL_TIMEOUT, Coordinator, Error};
-use crate::conversation::Transcript;
+use super::{BeginParams, BeginResponse, Coordinator, Error};
 use crate::message::{self, Begin, Reply, Request};
 use crate::record::Settled;
 use crate::view::{Member, View};
@@ -160,7 +159,7 @@
             collected.add(&member, reply);
             if collected.has_quorum()
                 && conversation_deadline.is_none()
-                && collected.parent_holder.is_some()
+                && !collected.parent_holders.is_empty()
             {
                 conversation_deadline = Some(deadline.min(Instant::now() + CONVERSATION_WAIT));
             }
@@ -209,18 +208,17 @@
                 ..BeginResponse::default()
             });
         }
-        let transcript = match (collected.transcript, collected.parent_holder) {
-            (Some(transcript), _) => Ok(transcript),
-            (None, Some(holder)) => self
-                .fetch_conversation(&holder, params)
-                .await
-                .ok_or(Error::Indeterminate),
-            (None, None)
-                if collected.members_without_parent == member_count && member_count >= needed =>
-            {
+        let members_without_parent = collected.members_without_parent;
+        let transcript = match collected.transcript {
+            Some(transcript) => Ok(transcript),
+            None if !collected.parent_holders.is_empty() => {
+                let (holders, bytes) = (collected.parent_holders, collected.conversation_bytes);
+                self.read_conversation(&holders, bytes, params).await
+            }
+            None if members_without_parent == member_count && member_count >= needed => {
                 Err(Error::TurnNotFound)
             }
-            (None, None) => Err(Error::Indeterminate),
+            None => Err(Error::Indeterminate),
         };
         transcript.map(|transcript| BeginResponse {
             transcript: Some(transcript),
@@ -230,20 +228,4 @@
             ..BeginResponse::default()
         })
     }
-
-    /// Reads the conversation from a member that has it.
-    async fn fetch_conversation(
-        &self,
-        holder: &Member,
-        params: &BeginParams,
-    ) -> Option<Transcript> {
-        let request = Request::Chain(params.parent.clone()?);
-        let client = self.replica_client(&self.view(), holder.address);
-        let call = client.call(message::encode(&request), CALL_TIMEOUT);
-        let reply = tokio::time::timeout(params.try_timeout, call).await.ok()?;
-        match message::decode(&reply?)? {
-            Reply::Chain(transcript) => transcript,
-            _ => None,
-        }
-    }
 }
--- a/crates/gradedyke-turns/src/quorum/gathered.rs
+++ b/crates/gradedyke-turns/src/quorum/gathered.rs
@@ -33,8 +33,10 @@
     attempts: HashMap<Id, Attempt>,
     /// The conversation up to the parent turn.
     pub(super) transcript: Option<Transcript>,
-    /// A member that has the parent turn but did not send the conversation.
-    pub(super) parent_holder: Option<Member>,
+    /// Members that have the parent turn but did not send the conversation.
+    pub(super) parent_holders: Vec<Member>,
+    /// Size of the conversation in bytes, if it must be read in pages.
+    pub(super) conversation_bytes: Option<u64>,
     /// Number of members that do not have the parent turn.
     pub(super) members_without_parent: usize,
     /// Whether a member is still recovering from its disk.
@@ -61,7 +63,8 @@
             active_acks: 0,
             attempts: HashMap::new(),
             transcript: None,
-            parent_holder: None,
+            parent_holders: Vec::new(),
+            conversation_bytes: None,
             members_without_parent: 0,
             is_any_starting: false,
             is_any_busy: false,
@@ -97,7 +100,8 @@
 
     /// Returns whether no further reply is needed or expected.
     pub(super) fn is_complete(&self, params: &BeginParams) -> bool {
-        let has_parent = params.parent.is_none() || self.transcript.is_some();
+        let is_known = self.transcript.is_some() || self.conversation_bytes.is_some();
+        let has_parent = params.parent.is_none() || is_known;
         self.has_quorum() && has_parent || self.finished_members == self.member_count
     }
 
@@ -151,7 +155,12 @@
     fn record_parent(&mut self, member: &Member, parent: Option<Found>) {
         match parent {
             Some(Found::Whole(transcript)) => self.transcript = Some(transcript),
-            Some(Found::Here) => self.parent_holder = Some(member.clone()),
+            Some(Found::Here) => self.parent_holders.push(member.clone()),
+            Some(Found::Large(bytes)) => {
+                self.conversation_bytes = Some(bytes);
+                // It is the nearest member.
+                self.parent_holders.insert(0, member.clone());
+            }
             Some(Found::Missing) => self.members_without_parent += 1,
             None => {}
         }
--- a/crates/gradedyke-turns/src/quorum/store.rs
+++ b/crates/gradedyke-turns/src/quorum/store.rs
@@ -24,14 +24,18 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NoQuorum`] if no majority acknowledged by the deadline; replicas may have stored
-    /// the record nevertheless.
+    /// [`Error::TurnTooLarge`] at once, if no replica can store the record; [`Error::NoQuorum`] if
+    /// no majority acknowledged by the deadline. After the latter replicas may have stored the
+    /// record nevertheless.
     pub async fn store(
         &self,
         record: &Record,
         usage: Option<&usage::Report>,
         deadline: Instant,
     ) -> Result<Option<Total>, Error> {
+        if !record.is_storable() {
+            return Err(Error::TurnTooLarge(record.body_bytes()));
+        }
         let mut backoff = Backoff::unlimited(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
         loop {
             let view = self.view();
--- a/crates/gradedyke-turns/src/record.rs
+++ b/crates/gradedyke-turns/src/record.rs
@@ -86,6 +86,10 @@
     pub keep_ms: u32,
 }
 
+/// Maximum size of a turn's input and output together, in bytes. Leaves room in a message for the
+/// other fields of the record and of the request.
+pub const MAX_TURN_BYTES: usize = gradedyke_peer::MAX_MESSAGE_BYTES - (1 << 20);
+
 /// A turn whose response is complete.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Turn {
@@ -172,6 +176,28 @@
         }
     }
 
+    /// Whether the record is small enough to be stored and sent to other replicas.
+    ///
+    /// ```
+    /// use gradedyke_turns::record::{Id, MAX_TURN_BYTES, Record, Turn};
+    ///
+    /// let turn = |input_bytes| Record::Turn(Turn {
+    ///     request: Id::parse("r").unwrap(),
+    ///     parent: None,
+    ///     input: vec![0; input_bytes].into(),
+    ///     output: "done".into(),
+    ///     server: Id::parse("s").unwrap(),
+    ///     program: None,
+    ///     tokens: 1,
+    ///     keep_ms: 60_000,
+    /// });
+    /// assert!(turn(MAX_TURN_BYTES - 4).is_storable());
+    /// assert!(!turn(MAX_TURN_BYTES).is_storable());
+    /// ```
+    pub fn is_storable(&self) -> bool {
+        self.body_bytes() <= MAX_TURN_BYTES
+    }
+
     /// Returns how long the record is retained.
     pub fn retention(&self) -> Duration {
         let ms = match self {
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
-use crate::conversation::{Transcript, TurnBody};
+use crate::conversation::{Conversation, Page, Transcript, TurnBody};
 use crate::index::{self, Index, Lookup, Position};
 use crate::load::{Aggregator, Report, ServerLoad};
 use crate::log::{self, Location, Log};
@@ -190,9 +190,12 @@
     ///
     /// # Errors
     ///
-    /// [`log::Error::Write`]; the replica then stops, because the state of its disk is
-    /// unknown.
+    /// [`log::Error::TooLarge`] if no replica can store the record; [`log::Error::Write`] if the
+    /// write failed. After the latter the replica stops, because the state of its disk is unknown.
     pub async fn store(&self, record: &Record) -> Result<(), log::Error> {
+        if !record.is_storable() {
+            return Err(log::Error::TooLarge(record.body_bytes()));
+        }
         let key = record.key();
         let end = {
             let mut index = self.index();
@@ -281,7 +284,7 @@
         wants_others.then(|| aggregator.total_excluding(entry, now))
     }
 
-    /// Looks up a turn, with its conversation if `with_conversation`.
+    /// Looks up a turn, with its conversation if `with_conversation` and if that fits in a page.
     async fn find_turn(&self, id: &Id, with_conversation: bool) -> Found {
         if !self.index().has_turn_and_ancestors(id) {
             return Found::Missing;
@@ -289,20 +292,66 @@
         if !with_conversation {
             return Found::Here;
         }
-        let transcript = self.transcript(id).await;
+        let Some(conversation) = self.conversation(id) else {
+            return Found::Here;
+        };
+        let bytes = conversation.byte_len();
+        if bytes > FULL_PAGE_BYTES {
+            return Found::Large(bytes as u64);
+        }
+        let transcript = self.transcript(&conversation, true).await;
         transcript.map_or(Found::Here, Found::Whole)
     }
 
-    async fn transcript_reply(&self, id: &Id) -> Reply {
-        match self.load_for_request(None, Some(id)).await {
-            Ok(()) => Reply::Chain(self.transcript(id).await),
-            Err(error) => Reply::Failed(error.to_string()),
+    /// Returns the reply to [`Request::Chain`].
+    async fn chain_reply(&self, id: &Id) -> Reply {
+        if let Err(error) = self.load_for_request(None, Some(id)).await {
+            return Reply::Failed(error.to_string());
+        }
+        match self.conversation(id) {
+            None => Reply::Chain(None),
+            Some(conversation) if conversation.byte_len() <= FULL_PAGE_BYTES => {
+                Reply::Chain(self.transcript(&conversation, true).await)
+            }
+            Some(conversation) => Reply::ChainPage(self.chain_page(&conversation, 0).await),
+        }
+    }
+
+    /// Returns the reply to [`Request::ChainPage`].
+    async fn chain_page_reply(&self, id: &Id, from: u32) -> Reply {
+        if let Err(error) = self.load_for_request(None, Some(id)).await {
+            return Reply::Failed(error.to_string());
+        }
+        match self.conversation(id) {
+            Some(conversation) => Reply::ChainPage(self.chain_page(&conversation, from).await),
+            None => Reply::ChainPage(None),
         }
     }
 
+    /// Returns the turns of a conversation from number `from` on, up to a full page. They are not
+    /// cached, because one large conversation would replace the bodies of many small ones.
+    async fn chain_page(&self, conversation: &Conversation, from: u32) -> Option<Page> {
+        let (page, next) = conversation.page(from as usize, FULL_PAGE_BYTES);
+        Some(Page {
+            body: self.transcript(&page, false).await?.body,
+            next: next.and_then(|n| u32::try_from(n).ok()),
+            conversation_bytes: conversation.byte_len() as u64,
+            server: conversation.server.clone(),
+        })
+    }
+
     /// Returns the conversation up to and including a turn, if this replica has all of it.
-    async fn transcript(&self, id: &Id) -> Option<Transcript> {
-        let conversation = self.index().conversation(id)?;
+    fn conversation(&self, id: &Id) -> Option<Conversation> {
+        self.index().conversation(id)
+    }
+
+    /// Returns the text of a conversation; `None` if the disk fails. Caches the bodies that were
+    /// read from disk if `cache_bodies` is set.
+    async fn transcript(
+        &self,
+        conversation: &Conversation,
+        cache_bodies: bool,
+    ) -> Option<Transcript> {
         let stored = conversation.disk_locations();
         if stored.is_empty() {
             return conversation.transcript(&[]);
@@ -310,6 +359,9 @@
         let records = self.try_read(stored).await?;
         let bodies: Vec<Body> = records.into_iter().filter_map(turn_body).collect();
         let transcript = conversation.transcript(&bodies);
+        if !cache_bodies {
+            return transcript;
+        }
         let turns = conversation.turns.iter();
         let read_turns = turns.filter(|(_, turn)| matches!(turn, TurnBody::OnDisk(_)));
         let mut index = self.index();
@@ -470,7 +522,8 @@
             } => self.store_in_view(view, &record, usage).await,
             Request::KeepAll { view, records } => self.store_all(view, &records).await,
             Request::Usage(report) => Reply::Usage(self.apply_usage_report(report)),
-            Request::Chain(id) => self.transcript_reply(&id).await,
+            Request::Chain(id) => self.chain_reply(&id).await,
+            Request::ChainPage { turn, from } => self.chain_page_reply(&turn, from).await,
             Request::Keys { disk, boot, from } => self.wait_for_keys(disk, boot, from).await,
             Request::Records(keys) => match self.records(&keys).await {
                 Some(records) => Reply::Records(records),
--- a/crates/gradedyke-turns/tests/quorum/large.rs
+++ b/crates/gradedyke-turns/tests/quorum/large.rs
@@ -1,4 +1,4 @@
-//! Turns that are larger than a page or a message.
+//! Turns and conversations that are larger than a page or a message.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -7,8 +7,11 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use gradedyke_peer::{Handler, MAX_MESSAGE_BYTES};
+use gradedyke_turns::conversation::MAX_CONVERSATION_BYTES;
+use gradedyke_turns::load::Report;
 use gradedyke_turns::message::{self, Keys, Reply, Request};
-use gradedyke_turns::record::{Key, Kind, Record, Turn};
+use gradedyke_turns::quorum::{BeginParams, Error};
+use gradedyke_turns::record::{Key, Kind, MAX_TURN_BYTES, Record, Turn};
 use gradedyke_turns::replica::Replica;
 use gradedyke_turns::sync::{Follower, Progress};
 use tokio::net::TcpListener;
@@ -16,7 +19,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::{Deployment, RunningReplica, id};
+use super::{Deployment, RunningReplica, id, operation_deadline};
 
 /// Longer than any operation takes.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -82,6 +85,7 @@
         let reply = client.call(request, TIMEOUT).await.unwrap();
         let bytes = match message::decode(&reply) {
             Some(Reply::Chain(Some(transcript))) => transcript.body.len(),
+            Some(Reply::ChainPage(Some(page))) => page.body.len(),
             _ => panic!("the turn was not copied"),
         };
         assert_eq!(bytes, size + 1);
@@ -137,3 +141,75 @@
     assert_eq!(progress.synced_version, None);
     assert_eq!(calls.load(Ordering::Relaxed), 1);
 }
+
+fn continue_turn(parent: &str, input_bytes: usize) -> BeginParams {
+    BeginParams {
+        reservation: None,
+        parent: Some(id(parent)),
+        input_bytes,
+        is_first_turn: false,
+        load: Report::default(),
+        usage: None,
+        try_timeout: Duration::from_secs(1),
+        deadline: operation_deadline(),
+        conversation_deadline: Instant::now() + TIMEOUT,
+    }
+}
+
+/// A conversation that is larger than a message was refused as if the replicas were lost.
+#[tokio::test]
+async fn conversation_of_many_pages_is_read_whole() {
+    let deployment = Deployment::start(3).await;
+    let deadline = Instant::now() + TIMEOUT;
+    let mut expected = Vec::new();
+    let mut parent: Option<String> = None;
+    // 24 MB, of turns that are smaller and larger than a page.
+    for (n, size) in [4_000_000, 10, 8_000_000, 300_000, 12_000_000, 70_000]
+        .into_iter()
+        .enumerate()
+    {
+        let text = input(size);
+        expected.extend_from_slice(&text);
+        expected.push(b'!');
+        let request = format!("t{n}");
+        let record = turn(&request, parent.as_deref(), text);
+        let stored = deployment.coordinator.store(&record, None, deadline).await;
+        stored.unwrap();
+        parent = Some(request);
+    }
+    let begun = deployment.coordinator.begin(&continue_turn("t5", 9)).await;
+    let transcript = begun.unwrap().transcript.unwrap();
+    assert!(transcript.body == expected);
+    // Once the nearest replica is gone, another one is asked.
+    deployment.stop(0);
+    let begun = deployment.coordinator.begin(&continue_turn("t5", 9)).await;
+    assert!(begun.unwrap().transcript.unwrap().body == expected);
+}
+
+/// What no server could be sent is refused for that reason, not as if the replicas were lost.
+#[tokio::test]
+async fn oversized_turn_and_conversation_are_rejected_with_their_size() {
+    let deployment = Deployment::start(2).await;
+    let deadline = Instant::now() + TIMEOUT;
+    let too_large = turn("a", None, input(MAX_TURN_BYTES));
+    let stored = deployment.coordinator.store(&too_large, None, deadline);
+    assert_eq!(stored.await, Err(Error::TurnTooLarge(MAX_TURN_BYTES + 1)));
+    let record = turn("b", None, input(4 << 20));
+    let stored = deployment.coordinator.store(&record, None, deadline).await;
+    stored.unwrap();
+    let room = MAX_CONVERSATION_BYTES - (5 << 20);
+    let begun = deployment
+        .coordinator
+        .begin(&continue_turn("b", room))
+        .await;
+    assert!(begun.is_ok(), "{:?}", begun.err());
+    let room = MAX_CONVERSATION_BYTES - (3 << 20);
+    let begun = deployment
+        .coordinator
+        .begin(&continue_turn("b", room))
+        .await;
+    let limit = 3 << 20;
+    let is_expected =
+        |e| matches!(e, Error::ConversationTooLarge { bytes, limit: l } if bytes > l && l == limit);
+    assert!(begun.is_err_and(is_expected));
+}
--- a/crates/gradedyke-turns/tests/quorum/main.rs
+++ b/crates/gradedyke-turns/tests/quorum/main.rs
@@ -1,6 +1,6 @@
 //! Attempts and records with real replicas over loopback, some of which fail.
 //!
-//! - `large`: turns that are larger than a page or a message.
+//! - `large`: turns and conversations that are larger than a page or a message.
 //! - `replicas`: replicas that sync with each other, start up, or are overloaded.
 //! - `relay`: entries that reach replicas through other entries.
 
@@ -130,11 +130,13 @@
         let params = BeginParams {
             reservation: Some((reserved, budget)),
             parent: None,
+            input_bytes: 0,
             is_first_turn: false,
             load: Report::default(),
             usage: None,
             try_timeout: Duration::from_secs(1),
             deadline: operation_deadline(),
+            conversation_deadline: operation_deadline(),
         };
         self.coordinator.begin(&params).await.map(|_| ())
     }
@@ -173,11 +175,13 @@
         let params = BeginParams {
             reservation: None,
             parent: Some(id(parent)),
+            input_bytes: 0,
             is_first_turn: false,
             load: Report::default(),
             usage: None,
             try_timeout: Duration::from_secs(1),
             deadline: operation_deadline(),
+            conversation_deadline: operation_deadline(),
         };
         let transcript = self.coordinator.begin(&params).await;
         transcript.map(|c| c.transcript.map(|c| c.body))
@@ -308,6 +312,7 @@
         usage: None,
         reservation: None,
         parent: None,
+        input_bytes: 0,
         is_first_turn: false,
         load: Report {
             entry,
@@ -324,6 +329,7 @@
         },
         try_timeout: Duration::from_secs(1),
         deadline: operation_deadline(),
+        conversation_deadline: operation_deadline(),
     };
     let first_load = deployment
         .coordinator
--- a/crates/gradedyke-turns/tests/recovery.rs
+++ b/crates/gradedyke-turns/tests/recovery.rs
@@ -123,6 +123,22 @@
         }
     }
 
+    /// Reads a conversation page by page.
+    async fn conversation(&self, turn: &str) -> Vec<u8> {
+        let mut body = Vec::new();
+        let mut next = Some(0);
+        while let Some(from) = next {
+            let turn = id(turn);
+            let reply = self.send(&Request::ChainPage { turn, from }).await;
+            let Reply::ChainPage(Some(page)) = reply else {
+                panic!("{reply:?}");
+            };
+            body.extend_from_slice(&page.body);
+            next = page.next;
+        }
+        body
+    }
+
     async fn keys(&self) -> Keys {
         let request = Request::Keys {
             disk: 1,
@@ -155,11 +171,14 @@
     let opened = UnrecoveredReplica::new(folder.path());
     let (usage, found) = opened.begin("p", Some("b")).await;
     assert_eq!(usage, [(id("a"), (3, true)), (id("b"), (3, true))].into());
-    let Some(Found::Whole(transcript)) = found else {
+    let len = 2 * ((3 << 20) + 2);
+    let Some(Found::Large(bytes)) = found else {
         panic!("{found:?}");
     };
-    assert!(transcript.body.ends_with(b"b!"));
-    assert_eq!(transcript.body.len(), 2 * ((3 << 20) + 2));
+    assert!((len..len + 1_000).contains(&(bytes as usize)), "{bytes}");
+    let body = opened.conversation("b").await;
+    assert!(body.ends_with(b"b!"));
+    assert_eq!(body.len(), len);
     let (usage, _) = opened.begin("q", None).await;
     assert_eq!(usage, [(id("c"), (2, true))].into());
     let (usage, found) = opened.begin("unheard-of", Some("nowhere")).await;
@@ -167,7 +186,10 @@
     // Another program continues a turn of the first one.
     let reopened = UnrecoveredReplica::new(folder.path());
     let (_, found) = reopened.begin("another", Some("b")).await;
-    assert!(matches!(found, Some(Found::Whole(_))), "{found:?}");
+    assert!(matches!(found, Some(Found::Large(_))), "{found:?}");
+    // Pages are served before recovery even if they are the first requests.
+    let reopened = UnrecoveredReplica::new(folder.path());
+    assert_eq!(reopened.conversation("b").await.len(), len);
 }
 
 #[tokio::test]
