Compare the request id of a response before its status says anything

Callers saw: a turn that may run once was run by two servers, after a server had sent a late second answer, with status 421 and the id of an earlier request, in the place of the turn's own. The first server got nothing more from that entry.

Cause: classify_response took status 421 for "not run here, and the server is replaced" before it compared the response's request id with the call's.

Change: the id is compared first. A response to another request closes the connection and tells nothing about the call, which may have run: 502 where it may not be repeated. answer_of_another logs the status and the id.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -321,16 +321,19 @@
     let head = entry
         .dialect
         .response_head(response.status(), response.headers());
+    // A response to another request, whatever its status, tells nothing about this one, which the
+    // server may be running. Requests and responses on this connection no longer match, so the
+    // connection is closed.
+    if head.request_id.as_ref() != Some(&call.id) {
+        tracing::info!(event = "answer_of_another", request = %call.id, server = %choice.id,
+            status = response.status().as_u16(),
+            answered = head.request_id.as_ref().map_or("none", Id::as_str));
+        return Outcome::Unknown;
+    }
     if head.misdirected {
         entry.fleet.mark_replaced(choice.key);
         return Outcome::NotRun(NotRunReason::Misdirected);
     }
-    // A response to another request means that requests and responses on this connection no
-    // longer match, so the connection is closed.
-    if head.request_id.as_ref() != Some(&call.id) {
-        tracing::info!(event = "answer_of_another", request = %call.id, server = %choice.id);
-        return Outcome::Unknown;
-    }
     if head.not_run {
         entry
             .fleet
