--- a/crates/gradedyke-journal/src/keeper.rs
+++ b/crates/gradedyke-journal/src/keeper.rs
@@ -12,6 +12,10 @@
     /// taken effect; it is safe to retry.
     #[error("the keeper cannot be reached ({0}); check that it is running")]
     Unreachable(String),
+    /// A request or a reply is too large to be sent. The keeper is reachable, and repeating the
+    /// call does not help.
+    #[error("a message to or from the keeper is too large ({0}); send or read less at once")]
+    TooLarge(String),
     /// The keeper's store failed.
     #[error("the keeper's store failed ({0}); check the data folder and the disk")]
     Store(String),
--- a/crates/gradedyke-journal/src/log.rs
+++ b/crates/gradedyke-journal/src/log.rs
@@ -18,6 +18,10 @@
 /// Maximum delay between retries; the delay doubles with each one.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Maximum size of an entry's payload in bytes. A call carries several entries, and a page that is
+/// read has at least one.
+pub const MAX_ENTRY_BYTES: usize = 32 << 20;
+
 /// The error of an append or a recovery.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -29,6 +33,10 @@
     /// been stored.
     #[error("the log was closed; send the request to the slot's new owner")]
     Closed,
+    /// The entry has this size, which is over [`MAX_ENTRY_BYTES`]; no keeper got it, and the log
+    /// is unchanged.
+    #[error("an entry of {0} bytes is too large for the journal; store less in one entry")]
+    TooLarge(usize),
     /// Fewer than a majority of keepers answered.
     #[error("no majority of the slot's keepers answered; check that they are running")]
     NoMajority,
@@ -129,8 +137,14 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Fenced`] or [`Error::Closed`]; other failures are retried.
+    /// [`Error::TooLarge`], [`Error::Fenced`] or [`Error::Closed`]; other failures are retried.
     pub async fn append(self: &Arc<Self>, data: Box<RawValue>) -> Result<Index, Error> {
+        // An entry that no call can carry would be retried without end, and the entries after it
+        // would wait for it.
+        let bytes = data.get().len();
+        if bytes > MAX_ENTRY_BYTES {
+            return Err(Error::TooLarge(bytes));
+        }
         let (append, answer) = self.enqueue(data.into());
         let index = append.entries[0].index;
         let log = self.clone();
--- a/crates/gradedyke-journal/src/peer.rs
+++ b/crates/gradedyke-journal/src/peer.rs
@@ -17,7 +17,7 @@
 const QUEUE_CAPACITY: usize = 4_096;
 /// Maximum number of appends in one call.
 const MAX_BATCH_APPENDS: usize = 512;
-/// Size of the entries in one call from which no further append is added.
+/// Maximum size of the entries in one call with several appends. The largest entry is sent alone.
 const MAX_BATCH_BYTES: usize = 32 << 20;
 
 /// Counts the keepers' answers to one append until its result is known.
@@ -120,8 +120,17 @@
 
 impl Task {
     async fn run(&self, mut items: mpsc::Receiver<QueuedAppend>) {
-        while let Some(first) = items.recv().await {
-            let batch = collect_batch(first, &mut items);
+        let mut next = None;
+        loop {
+            let first = match next.take() {
+                Some(first) => first,
+                None => match items.recv().await {
+                    Some(first) => first,
+                    None => return,
+                },
+            };
+            let batch;
+            (batch, next) = collect_batch(first, &mut items);
             let appends = batch.iter().map(|item| item.append.clone()).collect();
             let outcomes = match self.directory.keeper(&self.name) {
                 Some(keeper) => self.deliver(&*keeper, appends, &batch).await,
@@ -184,7 +193,7 @@
         let outcomes = match outcomes {
             Ok(outcomes) => outcomes.into_iter().map(outcome_to_result).collect(),
             Err(error) => {
-                tracing::debug!(event = "append_failed", keeper = %self.name, %error);
+                log_failure(&self.name, &error);
                 vec![Err(Error::Keeper(error)); batch.len()]
             }
         };
@@ -203,23 +212,36 @@
     }
 }
 
-/// Takes queued appends, up to the limits of a batch.
+/// Logs why appends failed. Those that are too large do not succeed when they are repeated.
+fn log_failure(keeper: &id::Keeper, error: &keeper::Error) {
+    match error {
+        keeper::Error::TooLarge(_) => {
+            tracing::error!(event = "append_failed", %keeper, %error, remedy = "report this");
+        }
+        _ => tracing::debug!(event = "append_failed", %keeper, %error),
+    }
+}
+
+/// Takes queued appends, up to the limits of a batch. Also returns the one that did not fit.
 fn collect_batch(
     first: QueuedAppend,
     items: &mut mpsc::Receiver<QueuedAppend>,
-) -> Vec<QueuedAppend> {
+) -> (Vec<QueuedAppend>, Option<QueuedAppend>) {
     let size = |item: &QueuedAppend| -> usize {
         let entries = item.append.entries.iter();
         entries.map(|e| e.data.get().len()).sum()
     };
     let mut bytes = size(&first);
     let mut batch = vec![first];
-    while batch.len() < MAX_BATCH_APPENDS && bytes < MAX_BATCH_BYTES {
+    while batch.len() < MAX_BATCH_APPENDS {
         let Ok(item) = items.try_recv() else { break };
         bytes += size(&item);
+        if bytes > MAX_BATCH_BYTES {
+            return (batch, Some(item));
+        }
         batch.push(item);
     }
-    batch
+    (batch, None)
 }
 
 /// The entries that one keeper lacks: from `from` up to but not including `to`.
--- a/crates/gradedyke-journal/src/rpc.rs
+++ b/crates/gradedyke-journal/src/rpc.rs
@@ -10,16 +10,18 @@
 use async_trait::async_trait;
 use gradedyke_base::id::Slot;
 use jsonrpsee::core::{RpcResult, client};
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder, transport};
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::error::{OVERSIZED_REQUEST_CODE, OVERSIZED_RESPONSE_CODE};
 
 use crate::entry::{Append, Index, Outcome, Page, Seal, Sealed, Trim};
 use crate::keeper::{Error, Keeper};
 
 /// Path of the JSON-RPC endpoint on the peer listener.
 pub const RPC_PATH: &str = "/rpc";
-/// Maximum size of a request or response, in bytes. A full batch of appends fits.
+/// Maximum size of a request or response, in bytes. A batch of appends fits, and a page that was
+/// read, each with an entry of the largest size.
 pub const MAX_MESSAGE_BYTES: u32 = 64 << 20;
 /// JSON-RPC error code for a failure of the keeper's store.
 const STORE_FAILED_CODE: i32 = -32_001;
@@ -139,11 +141,29 @@
     }
 }
 
+/// Whether this is the code with which a server answers a call whose request or response is too
+/// large.
+fn is_oversized(code: i32) -> bool {
+    [OVERSIZED_REQUEST_CODE, OVERSIZED_RESPONSE_CODE].contains(&code)
+}
+
+/// Whether the client did not send a request because it is too large.
+fn is_request_too_large(error: &(dyn std::error::Error + 'static)) -> bool {
+    let error = error.downcast_ref::<transport::Error>();
+    matches!(error, Some(transport::Error::RequestTooLarge))
+}
+
 fn client_error(error: client::Error) -> Error {
     match error {
         client::Error::Call(call) if call.code() == STORE_FAILED_CODE => {
             Error::Store(call.message().to_owned())
         }
+        client::Error::Call(call) if is_oversized(call.code()) => {
+            Error::TooLarge(call.message().to_owned())
+        }
+        client::Error::Transport(error) if is_request_too_large(&*error) => {
+            Error::TooLarge(error.to_string())
+        }
         other => Error::Unreachable(other.to_string()),
     }
 }
--- a/crates/gradedyke-standin/src/service.rs
+++ b/crates/gradedyke-standin/src/service.rs
@@ -41,6 +41,8 @@
     Late(u64),
     /// Responds with this status without running the call.
     Fail(u16),
+    /// Runs the call and responds with a body of this size in bytes.
+    Large(usize),
 }
 
 /// The stand-in. Clones share its state.
@@ -154,6 +156,9 @@
             Mode::LoseAnswer => return aborted_response(),
             Mode::Hang => std::future::pending().await,
             Mode::Late(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            Mode::Large(bytes) => {
+                return reply::with_bytes(StatusCode::OK, "text/plain", "x".repeat(bytes));
+            }
             Mode::Normal | Mode::Fail(_) => {}
         }
         reply::with_bytes(StatusCode::OK, "application/json", response)
--- a/crates/gradedyke/src/owner/holding.rs
+++ b/crates/gradedyke/src/owner/holding.rs
@@ -7,7 +7,7 @@
 use gradedyke_base::id::{self, Slot};
 use gradedyke_base::problem::{Kind, Problem};
 use gradedyke_journal::Log;
-use gradedyke_journal::log::Error;
+use gradedyke_journal::log::{Error, MAX_ENTRY_BYTES};
 use serde_json::value::to_raw_value;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -60,7 +60,8 @@
     ///
     /// # Errors
     ///
-    /// `moving` when the slot has moved to another owner or its log was closed.
+    /// `moving` when the slot has moved to another owner or its log was closed; `too_large`
+    /// when the record is larger than an entry of the journal.
     pub async fn append(&self, record: &Record) -> Result<(), Problem> {
         let data = to_raw_value(record).map_err(|e| {
             let message = format!("a record cannot be written ({e}); report this");
@@ -73,6 +74,13 @@
                 self.stop.cancel();
                 Err(slot_moving())
             }
+            Err(Error::TooLarge(bytes)) => {
+                let message = format!(
+                    "a record of {bytes} bytes is too large to be stored, at most \
+                     {MAX_ENTRY_BYTES} are; send less in one call"
+                );
+                Err(Problem::new(Kind::TooLarge, message))
+            }
             Err(_) => Err(slot_moving()),
         }
     }
--- a/crates/gradedyke/src/owner/run.rs
+++ b/crates/gradedyke/src/owner/run.rs
@@ -194,15 +194,30 @@
             .finish(self.key, &self.request, self.ticket, end, ran);
     }
 
+    /// Appends the outcome, or the error that replaces one which is too large to be stored.
     async fn append_outcome(&self, finished: Finished) -> Result<Outcome, Abort> {
+        let Finished { outcome, spent } = finished;
+        match self.append_answered(&outcome, spent).await {
+            Ok(()) => Ok(outcome),
+            Err(Abort::NotRun(problem)) if problem.kind == Kind::TooLarge => {
+                tracing::warn!(event = "answer_too_large", program = %self.program,
+                    request = %self.request, why = problem.message);
+                let outcome = Outcome::Failed(answer_too_large());
+                self.append_answered(&outcome, spent).await?;
+                Ok(outcome)
+            }
+            Err(abort) => Err(abort),
+        }
+    }
+
+    async fn append_answered(&self, outcome: &Outcome, spent: u64) -> Result<(), Abort> {
         let record = Record::Answered {
             program: self.program.clone(),
             request: self.request.clone(),
-            outcome: finished.outcome.clone(),
-            spent: finished.spent,
+            outcome: outcome.clone(),
+            spent,
         };
-        self.append(record).await?;
-        Ok(finished.outcome)
+        self.append(record).await
     }
 
     fn record_metrics(&self, work: &Operation, end: &End) {
@@ -229,6 +244,13 @@
     }
 }
 
+/// Returns the error for a call that ran and whose answer is too large to be stored.
+fn answer_too_large() -> Problem {
+    let message = "the call ran, and its answer is too large to be kept; it will not be sent \
+                   again; ask the backend server for less, or read the result there";
+    Problem::new(Kind::OutcomeUnknown, message)
+}
+
 /// Returns the error for a call that was cancelled before it was sent.
 pub(super) fn program_ended() -> Problem {
     let message =
--- a/crates/gradedyke/tests/failures.rs
+++ b/crates/gradedyke/tests/failures.rs
@@ -194,6 +194,30 @@
     });
 }
 
+/// An answer that the journal could not carry was sent to the keepers without end, and no program
+/// of its slot went on.
+#[test]
+fn an_answer_too_large_to_be_stored_ends_its_call_only() {
+    run_test(async {
+        let deployment = Deployment::start(Config::default()).await.unwrap();
+        let caller = deployment.jordan_caller();
+        let address = deployment.entry_address(0);
+        let program = open_program(&caller, address, "valuation").await;
+        deployment.orders.set_mode(Mode::Large((64 << 20) - 100));
+        for _ in 0..2 {
+            let options = Options::request("large");
+            let calling = caller.call_service(address, &program, "orders/place", "{}", options);
+            assert_eq!(rejection_kind(calling.await), Kind::OutcomeUnknown);
+        }
+        deployment.orders.set_mode(Mode::Normal);
+        let options = Options::request("next");
+        let calling = caller.call_service(address, &program, "orders/place", "{}", options);
+        assert!(calling.await.is_ok());
+        assert_eq!(deployment.orders.runs().len(), 2);
+        deployment.stop().await;
+    });
+}
+
 #[test]
 fn a_non_repeatable_call_runs_once_when_its_owner_crashes() {
     run_test(async {
