Let a keeper join without a lost member once the others have each record

Callers saw: after a retirement had left two keepers, one of them was replaced; no turn ran from then on (503 no_keepers) for 20 s, and anew after a restart.

Cause: a newcomer counted only after it had synced from a quorum, which is both of two members, or 20 s after one was lost (GIVE_UP_TIMEOUT). The wait guards records that only the lost member has, after a third one lost its disk. Nothing told that there are none.

Change: the view says on how many active members each record is at least (copies; 0 is unknown, also in views of earlier versions). Where fewer members are active than needed, the first of them notes when they have each other's records. A newcomer must sync from as many as that leaves necessary, never more than before.

Why it works: records of a view with two active members are on both before they are acknowledged; older ones are on both once each has read all of the other under that view, in which neither takes requests of an earlier one.

--- a/crates/gradedyke-turns/src/membership/decide.rs
+++ b/crates/gradedyke-turns/src/membership/decide.rs
@@ -88,6 +88,8 @@
     pub retiring: &'a HashSet<String>,
     /// Whether all other active members have all of its records, except the most recent.
     pub others_caught_up: bool,
+    /// Whether all active members have each other's records of earlier views.
+    pub is_level: bool,
     /// Since when the view, the unreachable members and the instances to be retired
     /// have been the same.
     pub unchanged_since: Instant,
@@ -157,7 +159,8 @@
             Some(propose_address(config, observation))
         }
         (Some(me), None) if me.active => propose_removal_of_unreachable(observation, now)
-            .or_else(|| propose_leave_if_surplus(config, observation, now)),
+            .or_else(|| propose_leave_if_surplus(config, observation, now))
+            .or_else(|| propose_copies(observation)),
         (Some(_), None) => propose_activation(observation, now),
     }
 }
@@ -206,7 +209,11 @@
         data_centre: config.data_centre.clone(),
         active: config.first_start && no_records_yet,
     });
-    view.with_members(members)
+    let mut next = view.with_members(members);
+    if config.first_start && no_records_yet {
+        next.copies = next.active().count();
+    }
+    next
 }
 
 /// Proposes the present address of this replica.
@@ -253,11 +260,9 @@
             return None;
         }
     }
-    // If fewer members than a quorum were synced, a record may exist only on a lost member.
-    let active = view.active().count();
-    if synced < view.quorum_size().min(active)
-        && !should_give_up_unreachable(observation, synced, now)
-    {
+    // If too few members were synced, a record may exist only on a lost member.
+    let has_all_records = synced >= view.sync_quorum();
+    if !has_all_records && !should_give_up_unreachable(observation, synced, now) {
         return None;
     }
     let mut members = view.members.clone();
@@ -265,7 +270,31 @@
     for member in &mut members {
         member.active |= member.disk == observation.disk;
     }
-    Some(view.with_members(members))
+    let mut next = view.with_members(members);
+    // This replica has each record of earlier versions, and a quorum has those of this one.
+    let earlier = view.known_copies().saturating_sub(unreachable.len()) + 1;
+    let present = view.quorum_size().saturating_sub(unreachable.len());
+    next.copies = if has_all_records {
+        earlier.min(present)
+    } else {
+        0
+    };
+    Some(next)
+}
+
+/// Proposes to note that each record is on all active members, where fewer of them are left than
+/// needed. If one of them is lost as well, a replica that joins then need not wait for it. The
+/// version stays, because members and requests are not affected. The first active member does
+/// this, so that not all of them call the platform's store.
+fn propose_copies(observation: &Observation<'_>) -> Option<View> {
+    let view = observation.view;
+    let active = view.active().count();
+    let is_first = view.active().next().map(|m| m.disk) == Some(observation.disk);
+    let is_useful = active < target_member_count(view) && view.known_copies() < view.quorum_size();
+    (is_first && is_useful && observation.is_level).then(|| View {
+        copies: active,
+        ..view.clone()
+    })
 }
 
 /// Whether all unreachable active members have been so for long enough to continue
--- a/crates/gradedyke-turns/src/membership/mod.rs
+++ b/crates/gradedyke-turns/src/membership/mod.rs
@@ -11,7 +11,10 @@
 //! Removing a member is safe because the members of any quorum together have every
 //! record, even after a tolerated disk loss. A replica becomes active only after it
 //! has synced from a whole quorum whose members already refuse requests of earlier
-//! views.
+//! views. With fewer active members than needed a quorum is all of them, and one that
+//! is lost could not be waited for. Once they have each other's records, the view says
+//! so ([`View::copies`]), and it is enough to sync from one of them
+//! ([`View::sync_quorum`]).
 
 pub mod decide;
 pub mod distribution;
@@ -64,6 +67,9 @@
     recent_end_positions: VecDeque<(Instant, Position)>,
     /// The current state, and since when it has been the same.
     stability_state: (StabilityState, Instant),
+    /// The version of the view in which this replica had all records of the other active members,
+    /// and its end position then.
+    synced_position: Option<(u64, Position)>,
 }
 
 /// State that must be unchanged for a time before a vacancy is filled from other data centres or a
@@ -103,6 +109,7 @@
             retiring_since: None,
             recent_end_positions: VecDeque::new(),
             stability_state: (StabilityState::default(), Instant::now()),
+            synced_position: None,
         }
     }
 
@@ -143,6 +150,7 @@
         let others_caught_up =
             (must_leave || has_surplus) && self.have_others_caught_up(&view, now);
         let unchanged_since = self.unchanged_since(&view, &progress, &retiring, now);
+        let is_level = self.is_level(&view, &progress);
         let observation = Observation {
             view: &view,
             disk: self.replica.disk(),
@@ -150,6 +158,7 @@
             retiring_since: self.retiring_since,
             retiring: &retiring,
             others_caught_up,
+            is_level,
             unchanged_since,
         };
         let proposal = decide(&self.config, &observation, now);
@@ -213,6 +222,33 @@
         others.all(|m| self.replica.has_synced(m.disk, end))
     }
 
+    /// Whether all active members have each other's records of earlier views: this replica has
+    /// those of the others, and they have what it had then.
+    fn is_level(&mut self, view: &View, progress: &HashMap<DiskId, Progress>) -> bool {
+        let own = self.replica.disk();
+        let others: Vec<&Member> = view.active().filter(|m| m.disk != own).collect();
+        let is_synced = |m: &&Member| {
+            progress.get(&m.disk).is_some_and(|p| {
+                p.unreachable_since.is_none() && p.synced_version >= Some(view.version)
+            })
+        };
+        if !others.iter().all(is_synced) {
+            self.synced_position = None;
+            return false;
+        }
+        let known = self
+            .synced_position
+            .filter(|(version, _)| *version == view.version);
+        let position = match known {
+            Some((_, position)) => position,
+            None => self.replica.index().end_position(),
+        };
+        self.synced_position = Some((view.version, position));
+        others
+            .iter()
+            .all(|m| self.replica.has_synced(m.disk, position))
+    }
+
     /// Starts and stops followers so that exactly the other members are followed.
     fn update_followers(&mut self, view: &View) {
         let own = self.replica.disk();
@@ -261,6 +297,7 @@
                     event = "view_changed",
                     version = view.version,
                     revision,
+                    copies = view.copies,
                     members
                 );
                 let item = mirror::Item {
--- a/crates/gradedyke-turns/src/view.rs
+++ b/crates/gradedyke-turns/src/view.rs
@@ -44,6 +44,10 @@
     pub tolerate: usize,
     /// The replicas, in the order in which they joined.
     pub members: Vec<Member>,
+    /// The least number of active members that have each record of earlier versions on disk; 0 if
+    /// unknown.
+    #[serde(default)]
+    pub copies: usize,
 }
 
 impl View {
@@ -68,6 +72,42 @@
         majority.max(active.min(self.required_copies()))
     }
 
+    /// Returns the least number of active members that have each record, of earlier versions or
+    /// of this one; 0 if unknown.
+    pub fn known_copies(&self) -> usize {
+        self.copies.min(self.quorum_size())
+    }
+
+    /// Returns from how many active members a replica must sync to have every record: so many that
+    /// one of them has it, whichever they are. At most a quorum, which has every record in any
+    /// case.
+    ///
+    /// ```
+    /// use gradedyke_turns::view::{Member, View};
+    ///
+    /// let member = |disk| Member {
+    ///     name: format!("m{disk}"),
+    ///     disk,
+    ///     address: "127.0.0.1:9".parse().unwrap(),
+    ///     data_centre: "here".to_owned(),
+    ///     active: true,
+    /// };
+    /// let members = vec![member(1), member(2)];
+    /// let view = |copies| View { version: 1, tolerate: 1, members: members.clone(), copies };
+    /// // A record may be on either member only.
+    /// assert_eq!(view(1).sync_quorum(), 2);
+    /// // Each record is on both.
+    /// assert_eq!(view(2).sync_quorum(), 1);
+    /// ```
+    pub fn sync_quorum(&self) -> usize {
+        let active = self.active().count();
+        let quorum = self.quorum_size().min(active);
+        match self.known_copies() {
+            0 => quorum,
+            copies => quorum.min(active + 1 - copies),
+        }
+    }
+
     /// Returns how many members, active or not, must have a record on disk before it
     /// is considered stored: one more than the number of disks that may be lost.
     pub fn required_copies(&self) -> usize {
@@ -93,11 +133,16 @@
         self.members.iter().find(|m| m.disk == disk)
     }
 
-    /// Returns the next version of this view, with the given members.
+    /// Returns the next version of this view, with the given members. Its copies are those that
+    /// this view is known to have, less one for each active member that is left out: a record may
+    /// be on any of them. Members that are active only in the next version are not counted.
     pub fn with_members(&self, members: Vec<Member>) -> Self {
+        let is_left_out = |m: &&Member| !members.iter().any(|n| n.disk == m.disk);
+        let left_out = self.active().filter(is_left_out).count();
         Self {
             version: self.version + 1,
             tolerate: self.tolerate,
+            copies: self.known_copies().saturating_sub(left_out),
             members,
         }
     }
--- a/crates/gradedyke-turns/tests/membership/distribution.rs
+++ b/crates/gradedyke-turns/tests/membership/distribution.rs
@@ -47,6 +47,7 @@
             retiring_since: None,
             retiring: &self.retiring.iter().map(|n| (*n).to_owned()).collect(),
             others_caught_up: true,
+            is_level: false,
             unchanged_since: now - Duration::from_millis(self.unchanged_ms),
         };
         let next = decide(&config, &observation, now)?;
@@ -280,6 +281,7 @@
         version: 1,
         tolerate: 1,
         members: one.to_vec(),
+        copies: 0,
     };
     let now = Instant::now() + Duration::from_secs(60);
     // Returns after how many milliseconds a replica joins.
@@ -298,6 +300,7 @@
                 retiring_since: None,
                 retiring: &HashSet::new(),
                 others_caught_up: false,
+                is_level: false,
                 unchanged_since: now - Duration::from_millis(*ms),
             };
             decide(&config, &observation, now).is_some()
--- a/crates/gradedyke-turns/tests/membership/main.rs
+++ b/crates/gradedyke-turns/tests/membership/main.rs
@@ -1,5 +1,6 @@
 //! Table-driven tests of the membership decisions of a replica.
 
+mod copies;
 mod distribution;
 
 use std::collections::{HashMap, HashSet};
@@ -39,6 +40,7 @@
         version: 5,
         tolerate: 1,
         members: members.iter().map(|(n, d, a)| member(n, *d, *a)).collect(),
+        copies: 0,
     }
 }
 
@@ -90,6 +92,7 @@
             .map(|n| (*n).to_owned())
             .collect::<HashSet<_>>(),
         others_caught_up,
+        is_level: false,
         unchanged_since: now,
     };
     let next = decide(&config(first_start), &observation, now)?;
@@ -365,3 +368,121 @@
         assert_eq!(view(members).required_copies(), 2, "{members:?}");
     }
 }
+
+/// Returns the view that is proposed by the member on [`OWN_DISK`], or by a replica that is no
+/// member if there is none.
+fn propose_view(view: &View, states: &[(DiskId, PeerState)], is_level: bool) -> Option<View> {
+    let now = Instant::now() + Duration::from_secs(60);
+    let observation = Observation {
+        view,
+        disk: OWN_DISK,
+        progress: &progress(states, now),
+        retiring_since: None,
+        retiring: &HashSet::new(),
+        others_caught_up: false,
+        is_level,
+        unchanged_since: now,
+    };
+    decide(&config(false), &observation, now)
+}
+
+/// After a retirement a replica that replaced one of the two members left waited 20 s for the lost
+/// one, and nothing was served meanwhile.
+#[test]
+fn lost_member_is_not_waited_for_if_the_others_have_all_records() {
+    use PeerState::{Behind, Synced, Unreachable};
+    let pair = [("a", 1, true), ("b", 2, true), ("me", OWN_DISK, false)];
+    // The copies that the view is known to have, the states of the members, and the number of active
+    // members and the copies of the next view.
+    type Case = (&'static str, usize, [PeerState; 2], Option<(usize, usize)>);
+    let cases: &[Case] = &[
+        (
+            "each record is on both",
+            2,
+            [Synced(5), Unreachable(5_000)],
+            Some((2, 1)),
+        ),
+        (
+            "the lost one may have the only copy",
+            1,
+            [Synced(5), Unreachable(5_000)],
+            None,
+        ),
+        ("unknown", 0, [Synced(5), Unreachable(5_000)], None),
+        ("lost only briefly", 2, [Synced(5), Unreachable(500)], None),
+        (
+            "the other one is not synced",
+            2,
+            [Behind, Unreachable(5_000)],
+            None,
+        ),
+        ("synced from both", 1, [Synced(5), Synced(5)], Some((3, 2))),
+    ];
+    for (name, copies, [a, b], expected) in cases {
+        let view = View {
+            copies: *copies,
+            ..view(&pair)
+        };
+        let next = propose_view(&view, &[(1, *a), (2, *b)], false);
+        let next = next.map(|next| (next.active().count(), next.copies));
+        assert_eq!(next, *expected, "{name}");
+    }
+}
+
+#[test]
+fn first_active_member_notes_that_all_have_each_record() {
+    let me = ("me", OWN_DISK, true);
+    let (a, b) = (("a", 1, true), ("b", 2, true));
+    let joining = ("c", 3, false);
+    // Members, known copies, whether they have each other's records, and the copies noted.
+    let cases: &[(&str, &[_], usize, bool, Option<usize>)] = &[
+        ("two left", &[me, a, joining], 1, true, Some(2)),
+        (
+            "two left, of an earlier version",
+            &[me, a],
+            0,
+            true,
+            Some(2),
+        ),
+        ("noted already", &[me, a], 2, true, None),
+        ("not level", &[me, a], 1, false, None),
+        ("the other one does it", &[a, me], 1, true, None),
+        ("as many members as needed", &[me, a, b], 1, true, None),
+    ];
+    for (name, members, copies, is_level, expected) in cases {
+        let view = View {
+            copies: *copies,
+            ..view(members)
+        };
+        let next = propose_view(&view, &[], *is_level);
+        let noted = next.as_ref().map(|next| next.copies);
+        assert_eq!(noted, *expected, "{name}");
+        // The members stay, so requests of this version stay valid.
+        assert!(next.is_none_or(|next| next.version == view.version));
+    }
+}
+
+#[test]
+fn members_that_are_left_out_may_have_had_a_copy() {
+    let full = view(&[
+        ("a", 1, true),
+        ("b", 2, true),
+        ("c", 3, true),
+        ("d", 4, false),
+    ]);
+    let full = View { copies: 2, ..full };
+    let without = |disks: &[DiskId]| {
+        let members = full.members.iter().filter(|m| !disks.contains(&m.disk));
+        full.with_members(members.cloned().collect())
+    };
+    assert_eq!((without(&[4]).copies, without(&[4]).sync_quorum()), (2, 2));
+    assert_eq!((without(&[1]).copies, without(&[1]).sync_quorum()), (1, 2));
+    assert_eq!(
+        (without(&[1, 2]).copies, without(&[1, 2]).sync_quorum()),
+        (0, 1)
+    );
+    // The view of a process of an earlier version.
+    let text = serde_json::json!({ "version": 3, "tolerate": 1, "members": [] });
+    let old: View = serde_json::from_value(text).unwrap();
+    assert_eq!(old.copies, 0);
+}
--- a/crates/gradedyke-turns/tests/quorum/main.rs
+++ b/crates/gradedyke-turns/tests/quorum/main.rs
@@ -98,6 +98,7 @@
             version,
             tolerate: 1,
             members: self.replicas.iter().map(|n| n.member.clone()).collect(),
+            copies: 0,
         }
     }
 
--- a/crates/gradedyke-turns/tests/settle.rs
+++ b/crates/gradedyke-turns/tests/settle.rs
@@ -64,6 +64,7 @@
         version: 1,
         tolerate: 1,
         members: Vec::new(),
+        copies: 0,
     };
     for number in 0..REPLICA_COUNT {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
