Soak: large inputs, and disks lost one after the other

In every fourth seed callers send inputs of 50 to 600 kB. After the last fault of each seed the keepers must have copied all records, and then one after the other loses its disk, each once the others have copied all records again, while callers go on.

--- a/crates/gradedyke-cli/tests/soak.rs
+++ b/crates/gradedyke-cli/tests/soak.rs
@@ -7,8 +7,9 @@
 use gradedyke_site_soak::run::{Config, run};
 
 /// Seeds that determine the injected faults. Add a seed that finds a bug, with a comment
-/// on the cause.
-const FAULT_SEEDS: [u64; 1] = [7];
+/// on the cause. Seed 8 sends large inputs: keepers could not copy them to one that had lost its
+/// disk.
+const FAULT_SEEDS: [u64; 2] = [7, 8];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_injected_faults() {
