--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -126,9 +126,8 @@
             Err(match error {
                 quorum::Error::TurnNotFound => Refusal::TurnNotFound,
                 quorum::Error::BudgetExceeded { .. } => Refusal::BudgetExceeded,
-                quorum::Error::ConversationTooLarge { .. } | quorum::Error::TurnTooLarge(_) => {
-                    Refusal::ConversationTooLarge
-                }
+                quorum::Error::ConversationTooLarge { .. } => Refusal::ConversationTooLarge,
+                quorum::Error::TurnTooLarge(_) => Refusal::TooLarge,
                 quorum::Error::Indeterminate
                 | quorum::Error::Starting
                 | quorum::Error::Busy
--- a/crates/gradedyke-peer/src/client.rs
+++ b/crates/gradedyke-peer/src/client.rs
@@ -238,14 +238,14 @@
             match connect.await {
                 Ok(Ok(stream)) => {
                     self.set_down(false);
-                    let mut exchange = Exchange::new(Instant::now());
-                    let result = self.exchange(stream, first, &mut exchange).await;
+                    let mut session = Session::new(Instant::now());
+                    let result = self.exchange(stream, first, &mut session).await;
                     if let Err(error) = result {
                         tracing::info!(event = "peer_lost", peer = %self.address, %error,
-                            pending = exchange.pending.len());
+                            pending = session.pending.len());
                         self.set_down(true);
                     }
-                    for (_, call) in exchange.pending {
+                    for (_, call) in session.pending {
                         // Sending fails if the caller has stopped waiting.
                         let _: Result<(), _> =
                             call.reply.send(Err(Error::ConnectionLost(self.address)));
@@ -287,7 +287,7 @@
         &mut self,
         stream: TcpStream,
         first: Call,
-        exchange: &mut Exchange,
+        session: &mut Session,
     ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (reader, writer) = stream.into_split();
@@ -296,13 +296,13 @@
         loop {
             let now = Instant::now();
             while let Some(call) = next.take() {
-                exchange.send(call, now);
-                if !exchange.outbox.is_full() {
+                session.send(call, now);
+                if !session.outbox.is_full() {
                     next = self.queue.try_recv().ok();
                 }
             }
-            if exchange.outbox.write(&writer, now)? {
-                exchange.note_written(now);
+            if session.outbox.write(&writer, now)? {
+                session.note_written(now);
             }
             tokio::select! {
                 reply = replies.next() => {
@@ -311,21 +311,21 @@
                     };
                     let now = Instant::now();
                     self.last_reply.advance_to(now);
-                    exchange.receive(reply?, self.address, now)?;
+                    session.receive(reply?, self.address, now)?;
                 }
-                call = self.queue.recv(), if !exchange.outbox.is_full() => {
+                call = self.queue.recv(), if !session.outbox.is_full() => {
                     let Some(call) = call else { return Ok(()) };
                     next = Some(call);
                 }
-                writable = writer.writable(), if !exchange.outbox.is_empty() => writable?,
-                () = sleep_until(exchange.wakes_at()) => exchange.remove_expired(Instant::now())?,
+                writable = writer.writable(), if !session.outbox.is_empty() => writable?,
+                () = sleep_until(session.wakes_at()) => session.remove_expired(Instant::now())?,
             }
         }
     }
 }
 
 /// The calls on one connection.
-struct Exchange {
+struct Session {
     /// Number of the last call.
     number: u64,
     pending: HashMap<u64, Call>,
@@ -335,7 +335,7 @@
     active_at: Instant,
 }
 
-impl Exchange {
+impl Session {
     fn new(now: Instant) -> Self {
         Self {
             number: 0,
