Send messages of up to 1 MiB in one frame, which earlier versions can read

Pages and usual requests are no larger, so an instance of an earlier version goes on beside one of this while instances are replaced one after the other. Fragments of larger messages stay at 128 KiB. Buffers over 256 KiB are not kept once they have been written: a process may have hundreds of connections.

--- a/crates/gradedyke-peer/src/frame.rs
+++ b/crates/gradedyke-peer/src/frame.rs
@@ -4,9 +4,12 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::LengthDelimitedCodec;
 
-/// Maximum size of a frame's body. A link of 130 Mbit/s carries it in 8 ms, which is how long
-/// a fragment of a large message delays others.
-pub(crate) const MAX_BODY_BYTES: usize = 128 << 10;
+/// Maximum size of a message that is sent in one frame. Usual messages are no larger, so processes
+/// of earlier versions, which do not know fragments, can read them.
+pub(crate) const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Maximum size of a fragment. A link of 130 Mbit/s carries it in 8 ms, which is how long it
+/// delays small messages.
+pub(crate) const MAX_FRAGMENT_BYTES: usize = 128 << 10;
 /// Maximum size of a received frame. Processes of earlier versions send messages of up to this
 /// size in one frame.
 const MAX_RECEIVED_BYTES: usize = 16 << 20;
@@ -81,7 +84,7 @@
     let prefix_len = prefix.map_or(0, |_| size_of::<u64>());
     let len = NUMBER_BYTES + prefix_len + body.len();
     buffer.reserve(LENGTH_BYTES + len);
-    // The body of a frame is at most `MAX_BODY_BYTES` long.
+    // The body of a frame is at most `MAX_WHOLE_BYTES` long.
     buffer.put_u32(len as u32);
     buffer.put_u64(number | kind.bits() << KIND_SHIFT);
     if let Some(prefix) = prefix {
--- a/crates/gradedyke-peer/src/lib.rs
+++ b/crates/gradedyke-peer/src/lib.rs
@@ -6,10 +6,10 @@
 //! protocol carries binary bodies unencoded and needs less CPU time per call than
 //! HTTP.
 //!
-//! A message of up to [`MAX_MESSAGE_BYTES`] is delivered. One that does not fit in a
-//! frame is sent in fragments, between which small messages are sent, so that it delays
-//! them little, and its timeouts count from the last fragment. A larger message fails only
-//! its own call, with an error that tells its size; repeating the call does not help.
+//! A message of up to [`MAX_MESSAGE_BYTES`] is delivered. One over 1 MiB is sent in
+//! fragments, between which small messages are sent, so that it delays them little, and its
+//! timeouts count from the last fragment. A larger message fails only its own call, with an
+//! error that tells its size; repeating the call does not help.
 //!
 //! - [`client`]: makes calls and reconnects when necessary.
 //! - [`server`]: accepts connections and answers calls.
--- a/crates/gradedyke-peer/src/outbox.rs
+++ b/crates/gradedyke-peer/src/outbox.rs
@@ -8,7 +8,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::Instant;
 
-use crate::frame::{self, Kind, MAX_BODY_BYTES};
+use crate::frame::{self, Kind, MAX_FRAGMENT_BYTES, MAX_WHOLE_BYTES};
 
 /// Timeout for writing without any progress. The connection is then closed: its peer does not
 /// read, and queued messages would fill the memory.
@@ -17,6 +17,8 @@
 const FULL_BYTES: usize = 1 << 20;
 /// Number of queued large messages from which no further message is accepted.
 const MAX_LARGE_MESSAGES: usize = 4;
+/// Maximum size of a buffer that is kept once it has been written.
+const MAX_KEPT_BUFFER_BYTES: usize = 256 << 10;
 /// Maximum number of writes after which other work of the connection is done.
 const MAX_WRITES: usize = 16;
 
@@ -33,6 +35,8 @@
 pub(crate) struct Outbox {
     /// Encoded frames that are being written.
     buffer: BytesMut,
+    /// Size of the buffer when it was last filled.
+    filled_bytes: usize,
     small: VecDeque<(u64, Kind, Bytes)>,
     small_bytes: usize,
     large: VecDeque<Large>,
@@ -44,6 +48,7 @@
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             buffer: BytesMut::new(),
+            filled_bytes: 0,
             small: VecDeque::new(),
             small_bytes: 0,
             large: VecDeque::new(),
@@ -63,7 +68,7 @@
 
     /// Queues a message of at most [`MAX_MESSAGE_BYTES`](crate::MAX_MESSAGE_BYTES).
     pub(crate) fn push(&mut self, number: u64, body: Bytes, now: Instant) {
-        if body.len() <= MAX_BODY_BYTES {
+        if body.len() <= MAX_WHOLE_BYTES {
             self.push_small(number, Kind::Last, body, now);
             return;
         }
@@ -136,9 +141,19 @@
         }
     }
 
-    /// Encodes small messages up to the size of a frame, and then a fragment of a large one.
+    /// Fills the empty buffer with small messages up to the size of a fragment, and then with a
+    /// fragment of a large one.
     fn fill_buffer(&mut self) {
-        while self.buffer.len() < MAX_BODY_BYTES {
+        // A process may have hundreds of connections, which would all keep their largest buffer.
+        if self.filled_bytes > MAX_KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        self.encode_next();
+        self.filled_bytes = self.buffer.len();
+    }
+
+    fn encode_next(&mut self) {
+        while self.buffer.len() < MAX_FRAGMENT_BYTES {
             let Some((number, kind, body)) = self.small.pop_front() else {
                 break;
             };
@@ -149,7 +164,7 @@
             return;
         };
         let from = large.encoded;
-        let to = large.body.len().min(from + MAX_BODY_BYTES);
+        let to = large.body.len().min(from + MAX_FRAGMENT_BYTES);
         let is_last = to == large.body.len();
         let kind = if is_last { Kind::Last } else { Kind::More };
         let total = (from == 0).then_some(large.body.len() as u64);
