--- a/crates/gradedyke-peer/src/outbox.rs
+++ b/crates/gradedyke-peer/src/outbox.rs
@@ -66,7 +66,7 @@
         self.small_bytes >= FULL_BYTES || self.large.len() >= MAX_LARGE_MESSAGES
     }
 
-    /// Queues a message of at most [`MAX_MESSAGE_BYTES`](crate::MAX_MESSAGE_BYTES).
+    /// Queues a message, which must have at most [`MAX_MESSAGE_BYTES`](crate::MAX_MESSAGE_BYTES).
     pub(crate) fn push(&mut self, number: u64, body: Bytes, now: Instant) {
         if body.len() <= MAX_WHOLE_BYTES {
             self.push_small(number, Kind::Last, body, now);
--- a/crates/gradedyke-peer/src/server.rs
+++ b/crates/gradedyke-peer/src/server.rs
@@ -59,8 +59,8 @@
     }
 }
 
-/// Reads calls and writes replies until the connection ends. While replies wait to be written,
-/// no further calls are read.
+/// Reads calls and writes replies until the connection ends. While many replies wait to be
+/// written, no further calls are read.
 async fn exchange(stream: TcpStream, handler: Arc<dyn Handler>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (reader, writer) = stream.into_split();
