--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -180,7 +180,7 @@
     Chain(Option<Transcript>),
     /// Keys of stored records.
     Keys(Keys),
-    /// The first of the requested records that the replica has, up to a full page. None if it
+    /// The first of the requested records that the replica has, up to a full page; empty if it
     /// has none of them.
     Records(Vec<Record>),
     /// Changes of the sender's mirror.
--- a/crates/gradedyke-turns/src/quorum/conversation.rs
+++ b/crates/gradedyke-turns/src/quorum/conversation.rs
@@ -16,9 +16,9 @@
 
 /// Why a member did not return the whole conversation.
 enum Failure {
-    /// It failed, or does not have all of it.
+    /// It failed, or does not have all of it. Another member may return it.
     Unavailable,
-    /// The conversation is too large for any member.
+    /// The conversation is too large, whichever member is asked.
     TooLarge(Error),
 }
 
