Log the content of requests whose runs break off

Nothing connected two request ids of the same content, so the logs couldn't tell repeats under new ids from repeats of one request. run_interrupted names the server's incarnation and two hashes: of the content, and of the request within its program. Both contain the client account. The request with its conversation is hashed only when a run has broken off.

--- a/crates/gradedyke-gateway/src/dialect.rs
+++ b/crates/gradedyke-gateway/src/dialect.rs
@@ -34,6 +34,8 @@
     pub size: Option<Size>,
     /// The turn that this request continues.
     pub parent: Option<Id>,
+    /// The object that the request concerns, if the caller names one.
+    pub affinity: Option<Id>,
     /// The parts of the prompt, in order; parts shared by many requests come first.
     pub parts: Vec<Part>,
     /// The caller's API key, hashed.
--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -16,6 +16,7 @@
 
 use super::Entry;
 use super::call::Call;
+use super::crash::log_interrupted_run;
 use super::refusal::Refusal;
 use crate::dialect::{Head, Outbound};
 use crate::fleet::{Choice, Key, Query};
@@ -188,7 +189,7 @@
         account: call.account.as_deref(),
         last_event_id,
     };
-    let mut request = Request::new(Full::new(body));
+    let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = entry.dialect.request_headers(&call.headers, &outbound);
@@ -198,10 +199,16 @@
     let result = wait_for_head(entry, call, attempts, &choice, exchange).await;
     let (response, connection) = match result {
         HeadWait::Done(Some(Ok(received))) => received,
-        HeadWait::Done(Some(Err(error))) => return record_failure(entry, call, &choice, &error),
+        HeadWait::Done(Some(Err(error))) => {
+            if matches!(error, link::Error::Interrupted(..)) {
+                log_interrupted_run(call, &body, &choice);
+            }
+            return record_failure(entry, call, &choice, &error);
+        }
         HeadWait::Done(None) => {
             // The server process has ended, so no response will arrive.
             tracing::info!(event = "server_ended", request = %call.id, server = %choice.id);
+            log_interrupted_run(call, &body, &choice);
             return Outcome::Unknown;
         }
         HeadWait::Abandoned => return Outcome::Unknown,
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -15,6 +15,7 @@
 use super::Entry;
 use super::attempt::{self, Attempts, ServerResponse};
 use super::call::Call;
+use super::crash::log_interrupted_run;
 use super::refusal::Refusal;
 use crate::config::Kind;
 use crate::fleet::Query;
@@ -138,6 +139,7 @@
         Ok(Err(error)) => {
             tracing::info!(event = "answer_broke_off", request = %call.id,
                 server = %choice.id, %error);
+            log_interrupted_run(call, &call.body, &choice);
             entry
                 .fleet
                 .record_failure(choice.key, Failure::ConnectionLost, Instant::now());
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -18,6 +18,7 @@
 use super::attempt::{self, ServerResponse};
 use super::budget::{Reservation, retention_ms};
 use super::call::Call;
+use super::crash::log_interrupted_run;
 use super::upstream::StreamRequest;
 use crate::dialect::Head;
 use crate::event::Splitter;
@@ -179,6 +180,7 @@
             }
         };
         let now = Instant::now();
+        log_interrupted_run(&self.call, self.upstream.body(), &self.choice);
         self.entry
             .fleet
             .record_failure(self.choice.key, failure, now);
--- a/crates/gradedyke-gateway/src/entry/upstream.rs
+++ b/crates/gradedyke-gateway/src/entry/upstream.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// The body that servers receive.
+    pub(super) fn body(&self) -> &Bytes {
+        &self.body
+    }
+
     /// Sends the request to a server, which resumes the stream after the event
     /// `last_event_id` if that is given. A resumable request is sent to another server if the
     /// connection breaks, or the server is too slow, before the response head arrives.
--- a/crates/gradedyke-turns/src/lib.rs
+++ b/crates/gradedyke-turns/src/lib.rs
@@ -22,7 +22,7 @@
 //! - [`view`]: the set of replicas; [`membership`]: changes of the view.
 //! - [`quorum`]: the client side; [`detour`]: calls replicas through other entries during a
 //!   network partition; [`load`]: load of the backend servers; [`usage`]: usage of the client
-//!   accounts.
+//!   accounts; [`crash`]: requests under which backend servers ended.
 //! - [`mirror`]: a local copy of the platform's key-value store; [`feed`]: updates of
 //!   the mirror from a replica; [`snapshot`]: the mirror and the usage of client accounts
 //!   on disk.
@@ -30,6 +30,7 @@
 pub mod backlog;
 pub mod body;
 pub mod conversation;
+pub mod crash;
 pub mod decay;
 pub mod desk;
 pub mod detour;
