Count the servers that end under a request by its content, over all entries

What callers saw: a request whose content ends each server that runs it was sent to 6 to 16 servers, since each try has an id of its own and nothing outlived it. Callers of other accounts then found no server.

A run that breaks off counts if its server ended with it: it doesn't accept connections or its process is known to have been restarted, and it was not leaving. It counts for two fingerprints, both with the client account: the request within its program, and the content. Each process holds a registry of them. An entry reports to all keepers before its caller gets the answer, and all entries follow the registries of all keepers; keepers write them to disk, and entries tell a keeper that has restarted. From three servers on, the request is refused with 503 at once; what ran in the same attempt is told as 502. A request that completes is cleared. Suspects are sent to one server at a time, and those of one ended server to different ones.

Also true now: a resumable stream that may have run is not refused as one that has not.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 //! [`dispatch`] tries another server only while it is certain that none has run the
 //! request. If the request may have run, the calling function decides whether to send it again.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +16,8 @@
 
 use super::Entry;
 use super::call::Call;
-use super::crash::log_interrupted_run;
+use super::crash::BrokenRun;
+use super::fingerprint::Fingerprints;
 use super::refusal::Refusal;
 use crate::dialect::{Head, Outbound};
 use crate::fleet::{Choice, Key, Query};
@@ -37,6 +38,8 @@
     pub response: Response<Incoming>,
     /// What the server says in the response headers.
     pub head: Head,
+    /// Number of servers that counted for the content when the request was sent.
+    pub prior: u8,
 }
 
 /// Why a request certainly did not run at a server.
@@ -72,6 +75,8 @@
     state: Mutex<State>,
     /// Whether the program can no longer end in time.
     is_late: bool,
+    /// The fingerprints of the request, once they are needed.
+    fingerprints: OnceLock<Fingerprints>,
 }
 
 #[derive(Debug, Default)]
@@ -94,8 +99,8 @@
     /// program can no longer end in time.
     pub fn new(is_late: bool) -> Self {
         Self {
-            state: Mutex::default(),
             is_late,
+            ..Self::default()
         }
     }
 
@@ -103,6 +108,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The fingerprints of `call`, of which servers receive the body `sent`.
+    pub(super) fn fingerprints(&self, call: &Call, sent: &Bytes) -> &Fingerprints {
+        self.fingerprints
+            .get_or_init(|| Fingerprints::new(call, sent))
+    }
+
     /// Whether another server may be tried.
     pub fn has_attempt_left(&self, call: &Call) -> bool {
         self.lock().has_attempt_left(call)
@@ -140,12 +151,18 @@
     body: &Bytes,
     last_event_id: Option<&[u8]>,
 ) -> Result<ServerResponse, Refusal> {
-    while attempts.reserve(call) {
-        let choice = choose_server(entry, call, attempts, query).ok_or(Refusal::NoServer)?;
+    while attempts.has_attempt_left(call) {
+        let suspect = suspect(entry, call, attempts, body)?;
+        if !attempts.reserve(call) {
+            break;
+        }
+        let choice = choose_server(entry, call, attempts, query, suspect.rank);
+        let choice = choice.ok_or(Refusal::NoServer)?;
         if will_miss_deadline(call, &choice) {
             return Err(Refusal::NoCapacity);
         }
-        match send(entry, call, attempts, choice, body.clone(), last_event_id).await {
+        let outbound = (body, last_event_id);
+        match send(entry, call, attempts, choice, outbound, suspect.prior).await {
             Outcome::Answered(response) => return Ok(*response),
             Outcome::NotRun(NotRunReason::NoTime) => return Err(Refusal::TooLate),
             Outcome::NotRun(NotRunReason::Unreachable) => attempts.mark_unreachable(),
@@ -157,6 +174,41 @@
     Err(Refusal::NoCapacity)
 }
 
+/// What is known of a request that is about to be sent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suspect {
+    /// Number of servers that count for its content.
+    prior: u8,
+    /// Its position among the requests that ran at the same server when it ended; `None` if no
+    /// server counts for it.
+    rank: Option<usize>,
+}
+
+/// Checks whether servers ended while they ran the request before.
+///
+/// # Errors
+///
+/// [`Refusal::EndsServers`] if it must not be sent again.
+fn suspect(
+    entry: &Entry,
+    call: &Call,
+    attempts: &Attempts,
+    body: &Bytes,
+) -> Result<Suspect, Refusal> {
+    if entry.crashes.is_idle() {
+        return Ok(Suspect::default());
+    }
+    let now = Instant::now();
+    let fingerprints = attempts.fingerprints(call, body);
+    if entry.crashes.refuses(call, fingerprints, now) {
+        return Err(Refusal::EndsServers);
+    }
+    Ok(Suspect {
+        prior: entry.crashes.prior(fingerprints, now),
+        rank: entry.crashes.rank(fingerprints),
+    })
+}
+
 /// A request is refused at once if its expected wait for a slot is longer than the time left
 /// until its deadline multiplied by this factor.
 const MAX_WAIT_RATIO: f64 = 2.0;
@@ -168,14 +220,15 @@
     choice.candidate.wait_ms() > MAX_WAIT_RATIO * left_ms
 }
 
-/// Sends the request to the chosen server and waits for the head of the response.
+/// Sends the request with this body to the chosen server, which resumes the stream after the event
+/// if one is given, and waits for the head of the response.
 async fn send(
     entry: &Entry,
     call: &Call,
     attempts: &Attempts,
     choice: Choice,
-    body: Bytes,
-    last_event_id: Option<&[u8]>,
+    (body, last_event_id): (&Bytes, Option<&[u8]>),
+    prior: u8,
 ) -> Outcome {
     let now = Instant::now();
     let time_left = call.time_left(now);
@@ -200,18 +253,22 @@
     let (response, connection) = match result {
         HeadWait::Done(Some(Ok(received))) => received,
         HeadWait::Done(Some(Err(error))) => {
-            if matches!(error, link::Error::Interrupted(..)) {
-                log_interrupted_run(call, &body, &choice);
+            let outcome = record_failure(entry, call, &choice, &error);
+            if matches!(outcome, Outcome::Unknown) {
+                record_broken_run(entry, call, attempts, body, (&choice, prior)).await;
             }
-            return record_failure(entry, call, &choice, &error);
+            return outcome;
         }
         HeadWait::Done(None) => {
             // The server process has ended, so no response will arrive.
             tracing::info!(event = "server_ended", request = %call.id, server = %choice.id);
-            log_interrupted_run(call, &body, &choice);
+            record_broken_run(entry, call, attempts, body, (&choice, prior)).await;
+            return Outcome::Unknown;
+        }
+        HeadWait::Abandoned => {
+            record_broken_run(entry, call, attempts, body, (&choice, prior)).await;
             return Outcome::Unknown;
         }
-        HeadWait::Abandoned => return Outcome::Unknown,
         HeadWait::TimedOut => {
             entry
                 .fleet
@@ -219,7 +276,30 @@
             return Outcome::TimedOut;
         }
     };
-    classify_response(entry, call, choice, connection, response, now)
+    match classify_response(entry, call, choice, connection, response, now) {
+        Outcome::Answered(response) => {
+            Outcome::Answered(Box::new(ServerResponse { prior, ..*response }))
+        }
+        outcome => outcome,
+    }
+}
+
+/// Counts a run that broke off at a server, if the server ended. `choice` comes with the number of
+/// servers that counted for the content when it was sent there.
+pub(super) async fn record_broken_run(
+    entry: &Entry,
+    call: &Call,
+    attempts: &Attempts,
+    body: &Bytes,
+    (choice, prior): (&Choice, u8),
+) {
+    let run = BrokenRun {
+        call,
+        fingerprints: *attempts.fingerprints(call, body),
+        choice,
+        prior,
+    };
+    entry.crashes.record_broken_run(&entry.fleet, run).await;
 }
 
 /// Returns the priority that is sent to an engine; 0 is the highest. `None` if the service runs no
@@ -364,6 +444,7 @@
         connection,
         response,
         head,
+        prior: 0,
     }))
 }
 
@@ -373,6 +454,7 @@
     call: &Call,
     attempts: &Attempts,
     query: &Query<'_>,
+    rank: Option<usize>,
 ) -> Option<Choice> {
     let now = Instant::now();
     let mut state = attempts.lock();
@@ -381,7 +463,7 @@
         now,
         ..query.clone()
     };
-    let choice = entry.fleet.choose(&attempt_query);
+    let choice = entry.fleet.choose_spread(&attempt_query, rank);
     state.tried.extend(choice.as_ref().map(|c| c.key));
     let age = entry.mirror.age(now);
     let program = call.meta.program.as_ref();
--- a/crates/gradedyke-gateway/src/entry/fingerprint.rs
+++ b/crates/gradedyke-gateway/src/entry/fingerprint.rs
@@ -25,6 +25,11 @@
             content: content(call, sent),
         }
     }
+
+    /// All fingerprints.
+    pub(super) fn iter(&self) -> impl Iterator<Item = Fingerprint> + use<> {
+        self.program.into_iter().chain([self.content])
+    }
 }
 
 fn id_bytes(id: Option<&Id>) -> Option<&[u8]> {
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! - `admission`: checks a request against the allowance of its client account.
 //! - `capacity`: admission of programs while the servers of a service are full.
 //! - [`attempt`]: sends a request to backend servers.
+//! - [`crash`]: requests under which backend servers ended. `fingerprint` recognizes them.
 //! - [`plain`]: requests whose response is buffered.
 //! - [`turn`]: requests whose response is streamed, and turns of conversations. `upstream`
 //!   opens the stream at a backend server, `relay` forwards its events, `budget` reports
@@ -16,7 +17,7 @@
 mod budget;
 pub mod call;
 mod capacity;
-mod crash;
+pub mod crash;
 mod door;
 mod fingerprint;
 pub mod plain;
@@ -114,6 +115,8 @@
     pub demand: Demand,
     /// Limits how many programs begin while the keepers are overloaded.
     pub throttle: Throttle,
+    /// Recognizes requests under which backend servers ended.
+    pub crashes: Arc<crash::Monitor>,
     /// Outages of the platform's key-value store that this entry has observed.
     pub outages: History,
     /// Limits how many programs begin while the servers of a service are full.
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -15,7 +15,6 @@
 use super::Entry;
 use super::attempt::{self, Attempts, ServerResponse};
 use super::call::Call;
-use super::crash::log_interrupted_run;
 use super::refusal::Refusal;
 use crate::config::Kind;
 use crate::fleet::Query;
@@ -48,7 +47,7 @@
     if let Ok(result) = tokio::time::timeout_at(slow_at, &mut first).await {
         return result;
     }
-    if !attempts.has_attempt_left(&call) {
+    if !attempts.has_attempt_left(&call) || is_suspect(entry, &call, &attempts) {
         return first.await;
     }
     tracing::info!(event = "sent_beside", request = %call.id,
@@ -60,17 +59,32 @@
     }
 }
 
-/// Returns `result` if it is a response, and otherwise that of `other`. An attempt that is no
-/// longer needed continues in the background, since its server is already working on it.
+/// Whether a server ended while it ran the request before. It is then sent to one server at a time.
+fn is_suspect(entry: &Entry, call: &Call, attempts: &Attempts) -> bool {
+    if entry.crashes.is_idle() {
+        return false;
+    }
+    let fingerprints = attempts.fingerprints(call, &call.body);
+    entry.crashes.is_suspect(fingerprints, Instant::now())
+}
+
+/// Returns `result` if it is a response, and otherwise that of `other`. If both are refusals, one
+/// that doesn't claim that the request has not run comes first. An attempt that is no longer needed
+/// continues in the background, since its server is already working on it.
 async fn first_success(
     result: ServeResult,
     other: impl Future<Output = ServeResult> + Send + 'static,
 ) -> ServeResult {
-    if result.is_err() {
-        return other.await.or(result);
+    let Err(refusal) = result else {
+        tokio::spawn(other);
+        return result;
+    };
+    let other = other.await;
+    match other {
+        Err(other) if !other.is_unexecuted() => Err(other),
+        Err(_) => Err(refusal),
+        Ok(_) => other,
     }
-    tokio::spawn(other);
-    result
 }
 
 /// Sends the request to servers until one has sent a complete response. A request that is not
@@ -100,7 +114,8 @@
     while attempts.has_attempt_left(&call) {
         match attempt::dispatch(&entry, &call, &attempts, &query, &call.body, None).await {
             Ok(received) => {
-                if let Some(response) = read_response(&entry, &call, received).await {
+                let response = read_response(&entry, &call, &attempts, received).await;
+                if let Some(response) = response {
                     return Ok(response);
                 }
             }
@@ -124,6 +139,7 @@
 async fn read_response(
     entry: &Entry,
     call: &Call,
+    attempts: &Attempts,
     received: ServerResponse,
 ) -> Option<Response<Body>> {
     let ServerResponse {
@@ -131,6 +147,7 @@
         connection,
         response,
         head,
+        prior,
     } = received;
     let (parts, incoming) = response.into_parts();
     let read_body = Limited::new(incoming, MAX_RESPONSE_BYTES).collect();
@@ -139,10 +156,11 @@
         Ok(Err(error)) => {
             tracing::info!(event = "answer_broke_off", request = %call.id,
                 server = %choice.id, %error);
-            log_interrupted_run(call, &call.body, &choice);
             entry
                 .fleet
                 .record_failure(choice.key, Failure::ConnectionLost, Instant::now());
+            let run = (&choice, prior);
+            attempt::record_broken_run(entry, call, attempts, &call.body, run).await;
             return None;
         }
         Err(_) => return None,
@@ -152,6 +170,10 @@
             .pool
             .put_back(connection, head.idle_timeout, Instant::now());
     }
+    if !entry.crashes.is_idle() {
+        let fingerprints = attempts.fingerprints(call, &call.body);
+        entry.crashes.record_completed(fingerprints, Instant::now());
+    }
     tracing::info!(event = "answered", request = %call.id, server = %choice.id,
         status = parts.status.as_u16(), bytes = bytes.len(),
         ms = call.arrived.elapsed().as_millis());
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -45,6 +45,9 @@
     ConversationTooLarge,
     /// The token budget of the program is used up.
     BudgetExceeded,
+    /// Several backend servers ended while they ran the same request before. It has not run
+    /// again.
+    EndsServers,
     /// The deadline passed before the request could be sent.
     TooLate,
     /// The request was sent, but no complete response arrived. It may have run.
@@ -81,6 +84,7 @@
             Refusal::TurnNotFound => "no_turn",
             Refusal::ConversationTooLarge => "conversation_too_large",
             Refusal::BudgetExceeded => "spent",
+            Refusal::EndsServers => "ends_servers",
             Refusal::TooLate => "too_late",
             Refusal::Interrupted => "broken",
             Refusal::TimedOut => "timed_out",
@@ -109,6 +113,7 @@
             | Refusal::NoKeepers
             | Refusal::Throttled
             | Refusal::ServiceFull(_)
+            | Refusal::EndsServers
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -181,6 +186,9 @@
                 "the conversation is too large to be continued; start a new one"
             }
             Refusal::BudgetExceeded => "the program's budget is spent; end it",
+            Refusal::EndsServers => {
+                "several backend servers ended while they ran it; change its content"
+            }
             Refusal::TooLate => "the time was over before the request could be sent",
             Refusal::Interrupted => "the backend server broke off; the request may have run",
             Refusal::TimedOut => "the time is over; the request may have run",
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -18,7 +18,6 @@
 use super::attempt::{self, ServerResponse};
 use super::budget::{Reservation, retention_ms};
 use super::call::Call;
-use super::crash::log_interrupted_run;
 use super::upstream::StreamRequest;
 use crate::dialect::Head;
 use crate::event::Splitter;
@@ -56,6 +55,7 @@
         upstream,
         last_event_id: None,
         choice: received.choice,
+        prior: received.prior,
         output: BytesMut::new(),
         tokens: 0,
         max_event_tokens,
@@ -80,6 +80,8 @@
     /// Identifier of the last event that was forwarded.
     last_event_id: Option<Bytes>,
     choice: Choice,
+    /// Number of servers that counted for the content when the request was sent there.
+    prior: u8,
     /// Data of all events, to be stored with the turn.
     output: BytesMut,
     /// Upper bound on the number of tokens forwarded.
@@ -118,6 +120,10 @@
             if !self.report_server_failure(&end) {
                 break end;
             }
+            let (entry, run) = (&self.entry, (&self.choice, self.prior));
+            self.upstream
+                .record_broken_run(entry, &self.call, run)
+                .await;
             let Some(next) = self.resume(status).await else {
                 break end;
             };
@@ -141,6 +147,7 @@
         metrics::counter!("gradedyke_streams_total", "end" => name).increment(1);
         match end {
             End::Complete => {
+                self.upstream.record_completed(&self.entry, &self.call);
                 self.report_timings();
                 if status.is_success() {
                     self.entry.record_turn_end(&self.call, now);
@@ -180,7 +187,6 @@
             }
         };
         let now = Instant::now();
-        log_interrupted_run(&self.call, self.upstream.body(), &self.choice);
         self.entry
             .fleet
             .record_failure(self.choice.key, failure, now);
@@ -214,6 +220,7 @@
             tokens = self.tokens);
         metrics::counter!("gradedyke_streams_resumed_total").increment(1);
         self.choice = received.choice;
+        self.prior = received.prior;
         (self.event_times, self.event_count) = (None, 0);
         let incoming = received.response.into_body();
         Some((incoming, received.connection, received.head))
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -59,6 +59,9 @@
     call: &Call,
 ) -> Result<(Option<Transcript>, Reservation, bool), Refusal> {
     let started = Instant::now();
+    if entry.crashes.refuses_call(call, started) {
+        return Err(Refusal::EndsServers);
+    }
     if !is_admitted(entry, call, started) {
         return Err(Refusal::Throttled);
     }
--- a/crates/gradedyke-gateway/src/entry/upstream.rs
+++ b/crates/gradedyke-gateway/src/entry/upstream.rs
@@ -9,7 +9,7 @@
 use super::attempt::{self, Attempts, MIN_TIME_LEFT_TO_SEND, ServerResponse};
 use super::call::Call;
 use super::refusal::Refusal;
-use crate::fleet::Query;
+use crate::fleet::{Choice, Query};
 
 /// The stored conversation that a request continues.
 struct Continued {
@@ -45,9 +45,18 @@
         }
     }
 
-    /// The body that servers receive.
-    pub(super) fn body(&self) -> &Bytes {
-        &self.body
+    /// Counts a run that broke off at a server, if the server ended. `run` is the server with the
+    /// number of servers that counted for the content when the request was sent there.
+    pub(super) async fn record_broken_run(&self, entry: &Entry, call: &Call, run: (&Choice, u8)) {
+        attempt::record_broken_run(entry, call, &self.attempts, &self.body, run).await;
+    }
+
+    /// Clears the request, which has completed.
+    pub(super) fn record_completed(&self, entry: &Entry, call: &Call) {
+        if !entry.crashes.is_idle() {
+            let fingerprints = self.attempts.fingerprints(call, &self.body);
+            entry.crashes.record_completed(fingerprints, Instant::now());
+        }
     }
 
     /// Sends the request to a server, which resumes the stream after the event
@@ -60,12 +69,18 @@
         last_event_id: Option<&[u8]>,
     ) -> Result<ServerResponse, Refusal> {
         let query = server_query(call, self.continued.as_ref());
+        let mut may_have_run = false;
         loop {
             let (attempts, body) = (&self.attempts, &self.body);
             let result =
                 attempt::dispatch(entry, call, attempts, &query, body, last_event_id).await;
             match result {
-                Err(Refusal::Interrupted) if self.can_resume(call) => {}
+                Err(Refusal::Interrupted) if self.can_resume(call) => may_have_run = true,
+                Err(refusal) if may_have_run && refusal.is_unexecuted() => {
+                    tracing::info!(event = "not_repeated", request = %call.id,
+                        why = refusal.name());
+                    return Err(Refusal::Interrupted);
+                }
                 result => return result,
             }
         }
--- a/crates/gradedyke-gateway/src/fleet/mod.rs
+++ b/crates/gradedyke-gateway/src/fleet/mod.rs
@@ -255,8 +255,27 @@
         }
     }
 
+    /// Whether a server is leaving as planned, or has left.
+    pub fn is_leaving(&self, key: Key) -> bool {
+        let registry = self.lock();
+        registry
+            .servers
+            .get(key)
+            .is_none_or(|state| state.is_leaving())
+    }
+
     /// Chooses a server and counts the request as in flight at it.
     pub fn choose(self: &Arc<Self>, query: &Query<'_>) -> Option<Choice> {
+        self.choose_spread(query, None)
+    }
+
+    /// Chooses a server like [`Fleet::choose`], but requests of different `rank` get different
+    /// servers, as far as there are enough. All entries choose the same server for a rank.
+    pub fn choose_spread(
+        self: &Arc<Self>,
+        query: &Query<'_>,
+        rank: Option<usize>,
+    ) -> Option<Choice> {
         let mut registry = self.lock();
         if registry
             .peer_load_received
@@ -287,7 +306,10 @@
             true => registry.apply_owners(query, &keys, &mut candidates),
             false => Vec::new(),
         };
-        let index = self.policy.choose(&candidates)?;
+        let index = match rank {
+            Some(rank) => registry.index_of_rank(&keys, rank)?,
+            None => self.policy.choose(&candidates)?,
+        };
         let (key, candidate) = (keys[index], candidates[index]);
         let state = registry.servers.get_mut(key)?;
         state.in_flight += 1;
--- a/crates/gradedyke-gateway/src/fleet/registry.rs
+++ b/crates/gradedyke-gateway/src/fleet/registry.rs
@@ -389,6 +389,14 @@
             .collect()
     }
 
+    /// Index in `keys` of the server for a request of this rank, in an order that is the same at all
+    /// entries; `None` without servers.
+    pub(super) fn index_of_rank(&self, keys: &[Key], rank: usize) -> Option<usize> {
+        let mut order: Vec<usize> = (0..keys.len()).collect();
+        order.sort_by_key(|index| self.servers[keys[*index]].owner_hash);
+        order.get(rank.checked_rem(keys.len())?).copied()
+    }
+
     /// Whether a server can be sent the request, regardless of its load.
     fn can_run(&self, key: Key, query: &Query<'_>, topology: &Topology) -> bool {
         let state = &self.servers[key];
--- a/crates/gradedyke-gateway/src/fleet/server_state.rs
+++ b/crates/gradedyke-gateway/src/fleet/server_state.rs
@@ -252,6 +252,11 @@
         self.health.failure_rate(self.peer_health(), now)
     }
 
+    /// Whether it was announced that the server ends.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.server.is_draining || self.directory_state != DirectoryState::Listed
+    }
+
     /// Whether the server gets requests now, apart from evacuations.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
         let has_left = self.server.is_draining || self.is_unreadable || self.is_replaced;
--- a/crates/gradedyke-gateway/src/link.rs
+++ b/crates/gradedyke-gateway/src/link.rs
@@ -22,6 +22,9 @@
 /// Connect timeout. A hundred times the latency to any server. A lost SYN is sent again only after
 /// a second, and another server is better than waiting for that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Connect timeout of a check whether a server has ended. Callers come back after 100 ms and have
+/// to be recognized then.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(80);
 /// How long sent data may stay unacknowledged (`TCP_USER_TIMEOUT`). Detects a server that is
 /// powered off or disconnected. A slow server keeps its connection, because its kernel
 /// acknowledges the data, unless its receive buffer stays full for this long. Leaves time for
@@ -92,6 +95,8 @@
 pub struct Pool {
     address: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
+    /// Result of the last [check](Pool::is_listening) and when it began.
+    last_check: tokio::sync::Mutex<Option<(Instant, bool)>>,
 }
 
 /// A connection in use. Dropping it closes the connection and cancels the request on it;
@@ -108,9 +113,27 @@
         Self {
             address,
             idle: Mutex::default(),
+            last_check: tokio::sync::Mutex::default(),
         }
     }
 
+    /// Whether the server accepts connections, after one to it broke at `broken_at`. One check
+    /// serves all connections that broke before it.
+    pub async fn is_listening(&self, broken_at: Instant) -> bool {
+        let mut last_check = self.last_check.lock().await;
+        if let Some((at, is_listening)) = *last_check
+            && at >= broken_at
+        {
+            return is_listening;
+        }
+        let started_at = Instant::now();
+        let connect = TcpStream::connect(self.address);
+        let result = tokio::time::timeout(CHECK_TIMEOUT, connect).await;
+        let is_listening = matches!(result, Ok(Ok(_)));
+        *last_check = Some((started_at, is_listening));
+        is_listening
+    }
+
     /// The server's address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -17,7 +17,7 @@
 use gradedyke_turns::mirror::{self, Mirror};
 use gradedyke_turns::quorum::Coordinator;
 use gradedyke_turns::replica::{self, Replica};
-use gradedyke_turns::{feed, log, snapshot};
+use gradedyke_turns::{crash, feed, log, snapshot};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -25,6 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
+use crate::entry::crash::Monitor;
 use crate::entry::{self, CallerHandler, Entry, ReadinessHandler};
 use crate::fleet::Fleet;
 use crate::settings::Settings;
@@ -163,6 +164,7 @@
         })?;
         tracing::info!(event = "deciding", placement = decisions.placement,
             off = ?decisions.off);
+        let crashes = Monitor::new(coordinator.clone());
         let entry = Arc::new(Entry {
             dialect: environment.dialect.clone(),
             mirror: mirror.clone(),
@@ -172,6 +174,7 @@
             limiter: Limiter::new(rand::random(), settings.allowance_window(), Instant::now()),
             demand: Demand::default(),
             throttle: Throttle::default(),
+            crashes,
             outages: History::default(),
             admission: Admission::default(),
             progress: Progress::default(),
@@ -189,6 +192,12 @@
         let mut process = Self::new(settings, Some(entry.clone()), stop.clone());
         let sources = follow_sources(process.settings.clone(), coordinator.clone());
         let tasks = &mut process.tasks;
+        tasks.spawn(crash::follow(
+            coordinator.crashes().clone(),
+            coordinator.clone(),
+            crash_sources(coordinator.clone()),
+            stop.clone(),
+        ));
         let follower = follow::EntryFollower {
             mirror,
             peers: coordinator,
@@ -261,6 +270,12 @@
         let (replica_sender, replica) = watch::channel(None);
         let handler = Arc::new(Dispatcher::new(mirror.clone(), replica));
         let tasks = &mut process.tasks;
+        snapshot::load_crashes(handler.crashes(), &folder, Instant::now());
+        tasks.spawn(snapshot::save_crashes_on_change(
+            handler.crashes().clone(),
+            folder.clone(),
+            stop.clone(),
+        ));
         tasks.spawn(gradedyke_peer::server::serve(
             listener,
             handler,
@@ -396,6 +411,20 @@
     }
 }
 
+/// The processes whose reports of ended servers an entry follows: the members of the view and, if
+/// none of them can be reached, other entries.
+fn crash_sources(coordinator: Arc<Coordinator>) -> impl Fn() -> Vec<SocketAddr> {
+    move || {
+        let mut sources = coordinator.addresses_by_distance();
+        if coordinator.is_isolated() {
+            let own = coordinator.forwarding_address();
+            let neighbours = coordinator.mirror().neighbours();
+            sources.extend(neighbours.into_iter().filter(|n| Some(*n) != own));
+        }
+        sources
+    }
+}
+
 /// Applies changes of the mirror to the configuration and the fleet until `stop`.
 async fn refresh(entry: Arc<Entry>, stop: CancellationToken) {
     let mut changed = entry.mirror.subscribe();
@@ -408,6 +437,7 @@
         let now = Instant::now();
         entry.record_gauges(now);
         entry.record_outage();
+        entry.crashes.record_gauges(now);
         entry
             .fleet
             .remove_expired(entry.mirror.service_available_since(), now);
--- a/crates/gradedyke-turns/src/desk.rs
+++ b/crates/gradedyke-turns/src/desk.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::backlog::Backlog;
+use crate::crash::{self, Registry};
 use crate::feed;
 use crate::message::{self, Begin, Reply, Request};
 use crate::mirror::Mirror;
@@ -53,6 +54,7 @@
 /// mirror do not need the replica; all others wait until the replica has opened its disk.
 pub struct Dispatcher {
     mirror: Arc<Mirror>,
+    crashes: Arc<Registry>,
     replica: watch::Receiver<Option<Arc<Replica>>>,
     begins_in_flight: AtomicUsize,
     other_requests_in_flight: AtomicUsize,
@@ -67,6 +69,7 @@
     pub fn new(mirror: Arc<Mirror>, replica: watch::Receiver<Option<Arc<Replica>>>) -> Self {
         Self {
             mirror,
+            crashes: Arc::default(),
             replica,
             begins_in_flight: AtomicUsize::new(0),
             other_requests_in_flight: AtomicUsize::new(0),
@@ -76,6 +79,11 @@
         }
     }
 
+    /// The requests under which backend servers ended, as entries reported them.
+    pub fn crashes(&self) -> &Arc<Registry> {
+        &self.crashes
+    }
+
     fn lock_stats(&self) -> MutexGuard<'_, RequestStats> {
         self.stats.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -145,6 +153,9 @@
         if matches!(request, Request::Age) {
             return feed::age_reply(&self.mirror, Instant::now());
         }
+        if let Request::Crashes(exchange) = request {
+            return Reply::Crashes(crash::answer(&self.crashes, exchange).await);
+        }
         let is_begin = matches!(request, Request::Begin(_));
         let Some(_permit) = self.admit(&request, queue_delay) else {
             return self.reject(is_begin);
--- a/crates/gradedyke-turns/src/detour.rs
+++ b/crates/gradedyke-turns/src/detour.rs
@@ -13,6 +13,7 @@
 use gradedyke_peer::{Client, Handler};
 use tokio::time::Instant;
 
+use crate::crash;
 use crate::feed;
 use crate::message::{self, Reply, Request};
 use crate::pressure::Pressure;
@@ -48,6 +49,9 @@
         let (to, body) = match request {
             Request::Hello => return Reply::Hello,
             Request::Via { to, body } => (to, body),
+            Request::Crashes(exchange) => {
+                return Reply::Crashes(crash::answer(self.coordinator.crashes(), exchange).await);
+            }
             Request::Age => return feed::age_reply(self.coordinator.mirror(), Instant::now()),
             Request::Follow {
                 cursor, wait_ms, ..
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::conversation::{Page, Transcript};
+use crate::crash;
 use crate::index::{Attempt, Position};
 use crate::load::{Report, ServerLoad};
 use crate::mirror::{Cursor, Update};
@@ -115,6 +116,8 @@
         /// Number of turns of the conversation before the page.
         from: u32,
     },
+    /// Reports and asks for requests under which backend servers ended.
+    Crashes(crash::Exchange),
 }
 
 /// Whether a replica has a turn, with the conversation if requested.
@@ -196,6 +199,8 @@
     Busy(Pressure),
     /// A page of the conversation; `None` if the replica does not have it.
     ChainPage(Option<Page>),
+    /// Requests under which backend servers ended.
+    Crashes(crash::Update),
 }
 
 /// Encodes a message.
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -3,12 +3,14 @@
 //!
 //! - `begin`: reserves tokens for an attempt.
 //! - `conversation`: reads the conversation that an attempt continues, page by page.
+//! - `crash`: reports requests under which backend servers ended.
 //! - `store`: writes records and reads usage totals.
 //! - `settle`: reports in the background how many tokens attempts used.
 //! - `gathered`: combines the replies of the replicas.
 
 mod begin;
 mod conversation;
+mod crash;
 mod gathered;
 mod settle;
 mod store;
@@ -28,6 +30,7 @@
 #[cfg(doc)]
 use crate::conversation::MAX_CONVERSATION_BYTES;
 use crate::conversation::Transcript;
+use crate::crash::Registry;
 use crate::detour::ReplicaClient;
 use crate::load::{Report, ServerLoad};
 use crate::membership;
@@ -157,6 +160,8 @@
     pressure: Mutex<Option<(Pressure, Instant)>>,
     /// Settlements that no majority has acknowledged yet.
     settlement_queue: Mutex<settle::SettlementQueue>,
+    /// The requests under which backend servers ended, as far as this process knows.
+    crashes: Arc<Registry>,
     /// A reference to itself for background tasks.
     weak_self: Weak<Self>,
 }
@@ -219,6 +224,7 @@
             last_probe_succeeded: AtomicBool::new(false),
             pressure: Mutex::default(),
             settlement_queue: Mutex::default(),
+            crashes: Arc::default(),
             weak_self: weak_self.clone(),
         })
     }
@@ -268,6 +274,11 @@
         }
     }
 
+    /// Returns the requests under which backend servers ended, as far as this process knows.
+    pub fn crashes(&self) -> &Arc<Registry> {
+        &self.crashes
+    }
+
     /// Returns this process's mirror of the platform's key-value store.
     pub fn mirror(&self) -> &Mirror {
         &self.mirror
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -412,11 +412,13 @@
         }
     }
 
-    /// Handles a request. The caller must handle `Age` and `Follow` itself; here they only get
-    /// [`Reply::Hello`].
+    /// Handles a request. The caller must handle `Age`, `Follow` and `Crashes` itself; here they
+    /// only get [`Reply::Hello`].
     pub(crate) async fn handle(&self, request: Request) -> Reply {
         match request {
-            Request::Hello | Request::Age | Request::Follow { .. } => Reply::Hello,
+            Request::Hello | Request::Age | Request::Follow { .. } | Request::Crashes(_) => {
+                Reply::Hello
+            }
             Request::Via { .. } => Reply::Failed("a replica does not forward requests".to_owned()),
             Request::Begin(begin) => self.begin(begin).await,
             Request::Keep {
--- a/crates/gradedyke-turns/src/snapshot.rs
+++ b/crates/gradedyke-turns/src/snapshot.rs
@@ -1,5 +1,5 @@
-//! Snapshots that a replica writes to disk beside its records: the mirror and the
-//! usage of client accounts.
+//! Snapshots that a replica writes to disk beside its records: the mirror, the usage of client
+//! accounts, and the requests under which backend servers ended.
 //!
 //! If all processes restart while the platform's key-value store is unavailable,
 //! requests can be served from the snapshot of the mirror. The loaded items count as
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::crash::{Registry, Report};
 use crate::log::sync_folder;
 use crate::mirror::{Item, Mirror};
 use crate::replica::Replica;
@@ -28,6 +29,10 @@
 const MIRROR_FILE: &str = "mirror";
 /// Name of the usage snapshot in the data folder.
 const USAGE_FILE: &str = "usage";
+/// Name in the data folder of the snapshot of requests under which backend servers ended.
+const CRASHES_FILE: &str = "crashes";
+/// Pause between two writes of that snapshot. Callers are back 100 ms after an end.
+const CRASHES_WRITE_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two writes of the usage snapshot. If all processes are lost, requests admitted
 /// since the last write are not counted. With windows of 5 s an account at its limit uses a
 /// twentieth of its allowance in this time; it may exceed it by a tenth.
@@ -160,3 +165,46 @@
         }
     }
 }
+
+/// Loads the requests under which backend servers ended from `folder` into `crashes`. Does nothing
+/// if the snapshot is missing or damaged.
+pub fn load_crashes(crashes: &Registry, folder: &Path, now: Instant) {
+    let Some(reports) = read::<Vec<Report>>(folder, CRASHES_FILE) else {
+        return;
+    };
+    tracing::info!(event = "crashes_loaded", requests = reports.len());
+    crashes.merge(&reports, now);
+}
+
+/// Writes `crashes` to `folder` whenever it has changed, until `stop` is cancelled.
+pub async fn save_crashes_on_change(
+    crashes: Arc<Registry>,
+    folder: PathBuf,
+    stop: CancellationToken,
+) {
+    let mut changed = crashes.subscribe();
+    loop {
+        tokio::select! {
+            changed = changed.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            () = stop.cancelled() => return,
+        }
+        let now = Instant::now();
+        crashes.remove_expired(now);
+        let (reports, _) = crashes.changed_since(0, usize::MAX, now);
+        let target = folder.clone();
+        let result =
+            tokio::task::spawn_blocking(move || write(&target, CRASHES_FILE, &reports)).await;
+        if let Ok(Err(error)) = result {
+            tracing::warn!(event = "crashes_not_written", %error,
+                remedy = "check the disk; the copy is needed only if all processes are lost");
+        }
+        tokio::select! {
+            () = tokio::time::sleep(CRASHES_WRITE_INTERVAL) => {}
+            () = stop.cancelled() => return,
+        }
+    }
+}
