--- a/crates/gradedyke-cli/src/help.rs
+++ b/crates/gradedyke-cli/src/help.rs
@@ -6,6 +6,7 @@
 usage: gradedyke COMMAND [OPTIONS]
 
 commands:
+  crashes   tell of requests under which backend servers ended
   demo      run everything in one process and show what it does
   evacuate  have a data centre's backend servers get nothing new
   run       run the roles that a settings file names
@@ -34,6 +35,24 @@
   --instances N  number of instances
 ";
 
+const CRASHES_HELP: &str = "\
+usage: gradedyke crashes ADDRESS... [--clear FINGERPRINT]
+
+Tells of the requests under which backend servers ended, as the entries and
+keepers with these peer addresses know them: one line each, those that cost the
+most servers first. Log lines name the same fingerprints.
+
+  fingerprint  program-... is a request of one program, content-... the same
+               content of any program
+  counted      servers that count; from 3 on the request is refused
+  ended        servers that ended while they ran it, at most four of a round
+  age_s        seconds since the last end, or since its caller last came back
+  state        suspect or refused
+
+  --clear FINGERPRINT  let the request be sent again; give the addresses of all
+                       keepers
+";
+
 const EVACUATE_HELP: &str = "\
 usage: gradedyke evacuate DATA_CENTRE --admin ADDRESS --key KEY [--withdraw]
 
@@ -113,6 +132,7 @@
 /// Returns the help text of a command, or the general help text if `topic` is no command.
 pub fn text(topic: &str) -> &'static str {
     match topic {
+        "crashes" => CRASHES_HELP,
         "demo" => DEMO_HELP,
         "evacuate" => EVACUATE_HELP,
         "run" => RUN_HELP,
--- a/crates/gradedyke-cli/src/main.rs
+++ b/crates/gradedyke-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The gradedyke command line.
 
 mod admin;
+mod crashes;
 mod demo;
 mod explain;
 mod help;
@@ -64,6 +65,7 @@
         return Ok(());
     }
     match command {
+        "crashes" => crashes::command(args),
         "demo" => demo::command(args),
         "evacuate" => admin::evacuate(args),
         "explain" => explain::command(args),
--- a/crates/gradedyke-cli/tests/words.rs
+++ b/crates/gradedyke-cli/tests/words.rs
@@ -7,7 +7,7 @@
 #[test]
 fn every_command_has_help() {
     for command in [
-        "demo", "evacuate", "run", "settings", "status", "standin", "key",
+        "crashes", "demo", "evacuate", "run", "settings", "status", "standin", "key",
     ] {
         let (code, help, _) = gradedyke(&[command, "--help"]);
         assert_eq!(code, 0);
--- a/crates/gradedyke-turns/src/crash.rs
+++ b/crates/gradedyke-turns/src/crash.rs
@@ -28,7 +28,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use exchange::{Cursor, Exchange, Update, answer, follow};
+pub use exchange::{Cursor, Exchange, Update, answer, fetch, follow, send};
 pub use fingerprint::{Fingerprint, Scope};
 pub use registry::{Entry, Registry};
 
--- a/crates/gradedyke-turns/src/crash/exchange.rs
+++ b/crates/gradedyke-turns/src/crash/exchange.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gradedyke_peer::Client;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::{Registry, Report};
-use crate::feed::Peers;
-use crate::message::{Reply, Request};
+use crate::feed::{self, Peers};
+use crate::message::{self, Reply, Request};
 
 /// How long a process holds a request while it has no changes (long polling).
 const LONG_POLL_WAIT: Duration = Duration::from_secs(4);
@@ -84,6 +85,49 @@
     }
 }
 
+async fn call(client: &Client, exchange: Exchange) -> Result<Update, feed::Error> {
+    let request = message::encode(&Request::Crashes(exchange));
+    let reply = client.call(request, CALL_MARGIN).await?;
+    match message::decode(&reply) {
+        Some(Reply::Crashes(update)) => Ok(update),
+        _ => Err(feed::Error::InvalidReply),
+    }
+}
+
+/// Sends reports to a process.
+///
+/// # Errors
+///
+/// [`feed::Error`] if the process cannot be reached or doesn't understand the request.
+pub async fn send(client: &Client, reports: Vec<Report>) -> Result<(), feed::Error> {
+    let exchange = Exchange {
+        reports,
+        ..Exchange::default()
+    };
+    call(client, exchange).await.map(|_| ())
+}
+
+/// Adds all reports of a process to `registry`.
+///
+/// # Errors
+///
+/// [`feed::Error`] if the process cannot be reached or doesn't understand the request.
+pub async fn fetch(client: &Client, registry: &Registry) -> Result<(), feed::Error> {
+    let mut cursor = Cursor::default();
+    loop {
+        let exchange = Exchange {
+            cursor: Some(cursor),
+            ..Exchange::default()
+        };
+        let update = call(client, exchange).await?;
+        if update.reports.is_empty() {
+            return Ok(());
+        }
+        registry.merge(&update.reports, Instant::now());
+        cursor = update.next;
+    }
+}
+
 /// Keeps `registry` up to date with those of the processes that `sources` lists, until `stop`.
 /// All are followed at the same time, so that the loss of one delays no report.
 pub async fn follow(
