Forward no more tokens of a turn than it has reserved

What callers saw: a server that sends events without end was passed on until the deadline, 2.8 million tokens in 3 s to a caller with 30 a turn and 60 in all. The reservation said what the budget holds, and nothing held the stream to it. The stream now ends, as one that broke off, before the first event beyond the reservation (in whole events; the whole budget where the caller names no maximum). Another server isn't tried, since there is nothing left to spend.

--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -49,6 +49,7 @@
     let max_event_tokens = call.engine().map_or(1, |e| e.max_event_tokens);
     let relay = Relay {
         entry: entry.clone(),
+        max_tokens: max_tokens(&call, max_event_tokens),
         call,
         reservation,
         sender,
@@ -70,6 +71,19 @@
     response
 }
 
+/// Returns the largest number of tokens that may be forwarded of a call's response: what is
+/// reserved for it in its program's budget, in whole events. `None` without a budget.
+fn max_tokens(call: &Call, max_event_tokens: u32) -> Option<u64> {
+    let budget = call.meta.token_budget?;
+    let reserved = call.meta.size.map(|s| u64::from(s.max_response_tokens));
+    let tokens = reserved.unwrap_or(budget);
+    Some(
+        tokens
+            .checked_next_multiple_of(max_event_tokens.into())
+            .unwrap_or(tokens),
+    )
+}
+
 /// State of a stream that is being forwarded.
 struct Relay {
     entry: Arc<Entry>,
@@ -88,6 +102,8 @@
     tokens: u32,
     /// Largest number of tokens in one event.
     max_event_tokens: u32,
+    /// Largest number of tokens that may be forwarded; `None` without a budget.
+    max_tokens: Option<u64>,
     /// Arrival of the first and the latest event from the current server.
     event_times: Option<(Instant, Instant)>,
     /// Number of events from the current server.
@@ -101,6 +117,8 @@
     Interrupted(String),
     /// The server has sent nothing for far longer than expected.
     Stalled,
+    /// The server has sent more tokens than the request allows.
+    TooManyTokens,
     CallerDisconnected,
     TimedOut,
     /// The turn could not be stored.
@@ -134,6 +152,7 @@
             End::Complete => ("whole", ""),
             End::Interrupted(cause) => ("broken", cause.as_str()),
             End::Stalled => ("silent", ""),
+            End::TooManyTokens => ("too_many_tokens", ""),
             End::CallerDisconnected => ("caller_left", ""),
             End::TimedOut => ("timed_out", ""),
             End::NotStored => ("not_kept", ""),
@@ -165,6 +184,7 @@
             }
             End::Interrupted(_)
             | End::Stalled
+            | End::TooManyTokens
             | End::CallerDisconnected
             | End::TimedOut
             | End::NotStored => {}
@@ -176,12 +196,17 @@
         let _ = self.sender.send(Err(failure)).await;
     }
 
-    /// Reports a failure to the fleet if the server caused the end of the stream. Returns
-    /// whether it did.
+    /// Reports a failure to the fleet if the server caused the end of the stream. Returns whether
+    /// it did and another server may go on.
     fn report_server_failure(&self, end: &End) -> bool {
         let (failure, cause) = match end {
             End::Interrupted(cause) => (health::Failure::ConnectionLost, cause.as_str()),
             End::Stalled => (health::Failure::Slow, ""),
+            End::TooManyTokens => {
+                let (fleet, failure) = (&self.entry.fleet, health::Failure::ConnectionLost);
+                fleet.record_failure(self.choice.key, failure, Instant::now());
+                return false;
+            }
             End::Complete | End::CallerDisconnected | End::TimedOut | End::NotStored => {
                 return false;
             }
@@ -268,6 +293,9 @@
                 return End::Interrupted(error.to_string());
             }
             while let Some(event) = events.next_event() {
+                if status.is_success() && !self.may_forward_event() {
+                    return End::TooManyTokens;
+                }
                 self.record_event(&event, Instant::now());
                 let event_id = self.entry.dialect.event_id(&event);
                 self.last_event_id = event_id
@@ -298,6 +326,12 @@
         End::Complete
     }
 
+    /// Whether another event is within what the request allows.
+    fn may_forward_event(&self) -> bool {
+        let tokens = u64::from(self.tokens) + u64::from(self.max_event_tokens);
+        self.max_tokens.is_none_or(|max| tokens <= max)
+    }
+
     /// Whether the turn is to be stored and has become too large for it.
     fn is_too_large(&self) -> bool {
         let bytes = self.call.body.len() + self.output.len();
@@ -357,7 +391,7 @@
             self.output.extend_from_slice(data);
             self.output.extend_from_slice(b"\n");
         }
-        self.tokens += self.max_event_tokens;
+        self.tokens = self.tokens.saturating_add(self.max_event_tokens);
         tracing::debug!(event = "event", request = %self.call.id, text = ?event);
     }
 
