Serve after a start only what is known not to end servers

An entry that had just started sent on what all others refuse: it was ready before any keeper had told it what they know. Seen once as a failure of refused_content_is_refused_after_all_processes_were_restarted (the request was sent, and ended a fourth server). It now is ready, and sends requests, once a keeper has told, or 1 s after its start.

--- a/crates/gradedyke-gateway/src/entry/crash.rs
+++ b/crates/gradedyke-gateway/src/entry/crash.rs
@@ -24,6 +24,9 @@
 /// at once, which the directory tells later.
 const RESTART_WATCH: Duration = Duration::from_secs(3);
 
+/// Longest time after the start for which requests wait until a keeper has told what it knows.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Recognizes requests under which backend servers ended.
 pub struct Monitor {
     registry: Arc<Registry>,
@@ -32,6 +35,8 @@
     pending: Mutex<Vec<Report>>,
     /// Held while reports are sent, so that those of a server's many requests go together.
     sending: tokio::sync::Mutex<()>,
+    /// When requests no longer wait for the keepers' first reports.
+    sync_deadline: Instant,
 }
 
 /// A run that broke off.
@@ -44,16 +49,35 @@
 }
 
 impl Monitor {
-    /// Creates a monitor that shares what it observes through `coordinator`.
-    pub fn new(coordinator: Arc<Coordinator>) -> Arc<Self> {
+    /// Creates a monitor that shares what it observes through `coordinator`; `now` is the start of
+    /// the process.
+    pub fn new(coordinator: Arc<Coordinator>, now: Instant) -> Arc<Self> {
         Arc::new(Self {
             registry: coordinator.crashes().clone(),
             coordinator,
             pending: Mutex::default(),
             sending: tokio::sync::Mutex::default(),
+            sync_deadline: now + SYNC_TIMEOUT,
         })
     }
 
+    /// Whether requests need not wait for what keepers know.
+    pub(super) fn is_synced(&self, now: Instant) -> bool {
+        now >= self.sync_deadline || *self.registry.subscribe_synced().borrow()
+    }
+
+    /// Waits until a keeper has told what it knows, for a limited time after the start. A process
+    /// that was restarted would send on what others refuse.
+    pub(super) async fn wait_until_synced(&self, now: Instant) {
+        if self.is_synced(now) {
+            return;
+        }
+        let mut synced = self.registry.subscribe_synced();
+        let told = synced.wait_for(|synced| *synced);
+        // The requests are served in either case.
+        let _ = tokio::time::timeout_at(self.sync_deadline, told).await;
+    }
+
     /// Whether no request needs to be recognized.
     pub(super) fn is_idle(&self) -> bool {
         self.registry.is_empty()
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -148,7 +148,9 @@
     pub fn is_ready(&self) -> bool {
         let started = self.config.load().is_some() && self.fleet.listed_count() > 0;
         let draining = self.drain.is_cancelled();
-        let can_use_keys = self.can_use_keys(self.data_age_upper_bound(Instant::now()));
+        let now = Instant::now();
+        let can_use_keys = self.can_use_keys(self.data_age_upper_bound(now));
+        let started = started && self.crashes.is_synced(now);
         started && !draining && self.quorum.is_majority_reachable() && can_use_keys
     }
 
@@ -399,6 +401,7 @@
             .wait_for_config(arrived)
             .await
             .ok_or(Refusal::NoConfig)?;
+        self.crashes.wait_until_synced(arrived).await;
         // Read before the configuration, so that the age is never understated.
         let age = self.data_age_upper_bound(arrived);
         let config = self.load_latest_config().unwrap_or(config);
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -164,7 +164,7 @@
         })?;
         tracing::info!(event = "deciding", placement = decisions.placement,
             off = ?decisions.off);
-        let crashes = Monitor::new(coordinator.clone());
+        let crashes = Monitor::new(coordinator.clone(), Instant::now());
         let entry = Arc::new(Entry {
             dialect: environment.dialect.clone(),
             mirror: mirror.clone(),
--- a/crates/gradedyke-turns/src/crash/exchange.rs
+++ b/crates/gradedyke-turns/src/crash/exchange.rs
@@ -180,6 +180,7 @@
         let update = match peers.call(source, &request, wait + CALL_MARGIN).await {
             Ok(Reply::Crashes(update)) => update,
             Ok(_) => {
+                registry.set_synced();
                 tokio::time::sleep(UNSUPPORTED_RETRY_DELAY).await;
                 continue;
             }
@@ -195,6 +196,7 @@
             (reports, _) = registry.changed_since(0, MAX_PAGE_REPORTS, now);
         }
         cursor = update.next;
+        registry.set_synced();
         wait = if reports.is_empty() {
             LONG_POLL_WAIT
         } else {
--- a/crates/gradedyke-turns/src/crash/registry.rs
+++ b/crates/gradedyke-turns/src/crash/registry.rs
@@ -73,6 +73,8 @@
     boot: u64,
     table: Mutex<Table>,
     changed: watch::Sender<u64>,
+    /// Whether another process has told what it knows.
+    synced: watch::Sender<bool>,
 }
 
 impl Default for Registry {
@@ -81,6 +83,7 @@
             boot: rand::random(),
             table: Mutex::default(),
             changed: watch::Sender::new(0),
+            synced: watch::Sender::new(false),
         }
     }
 }
@@ -100,6 +103,17 @@
         self.changed.subscribe()
     }
 
+    /// Returns a receiver of whether another process has told what it knows.
+    pub fn subscribe_synced(&self) -> watch::Receiver<bool> {
+        self.synced.subscribe()
+    }
+
+    /// Records that another process has told what it knows, or cannot.
+    pub(super) fn set_synced(&self) {
+        self.synced
+            .send_if_modified(|synced| !std::mem::replace(synced, true));
+    }
+
     /// Whether nothing is known, so that no request needs to be recognized.
     pub fn is_empty(&self) -> bool {
         *self.changed.borrow() == 0 || self.lock().requests.is_empty()
