Bound the memory of all bodies of an entry together

Each answer is bounded by 16 MiB, but 16 plain answers without end at once took an entry's peak to 92 to 115 MB where its machine has 110. All bodies of requests and responses, events and conversations now share a pool of three tenths of the instance's memory (memory_mb, which the platform tells). When it is used up, the largest body that may be given up is: an answer that is being received, not one that is complete, and not the input of a request that runs. Its caller gets 502, or 503 where the request has not run. Answers are held in the blocks in which they arrive, without a copy. What a server sends as a head is bounded by 64 KiB, the body of a stream's error response too; the output of streams that are not stored isn't kept any more.

--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -10,6 +10,7 @@
 
 use crate::config::{Config, Route};
 use crate::dialect::Meta;
+use crate::memory::Lease;
 use gradedyke_policy::account::Account;
 use gradedyke_policy::allowance::Charge;
 
@@ -44,6 +45,8 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
+    /// Memory of the body.
+    pub(super) _body_memory: Arc<Lease>,
     /// When the request head arrived.
     pub arrived: Instant,
     /// When the response must be complete.
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -43,6 +43,7 @@
 use crate::config::{Config, Kind, Route};
 use crate::dialect::{Dialect, Meta};
 use crate::fleet::Fleet;
+use crate::memory::{Metered, Pool};
 use call::Call;
 use door::RefusedRequest;
 use gradedyke_policy::account::{Account, Directory};
@@ -115,6 +116,8 @@
     pub demand: Demand,
     /// Limits how many programs begin while the keepers are overloaded.
     pub throttle: Throttle,
+    /// Memory for the bodies of requests and responses.
+    pub memory: Arc<Pool>,
     /// Recognizes requests under which backend servers ended.
     pub crashes: Arc<crash::Monitor>,
     /// Outages of the platform's key-value store that this entry has observed.
@@ -417,14 +420,22 @@
         let timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let deadline = arrived + timeout;
         let body_timeout = timeout.min(config.limits.idle_timeout);
-        let body = body::collect(incoming, max_body_bytes(&config, &route), body_timeout).await;
+        let lease = self.memory.lease();
+        let incoming = Metered::new(incoming, &lease);
+        let body = body::collect(incoming, max_body_bytes(&config, &route), body_timeout);
+        let body = tokio::select! {
+            body = body => body,
+            () = lease.evicted() => return Err(Refusal::NoMemory),
+        };
         let body = body.map_err(|problem| {
             tracing::info!(event = "body_not_read", request = %id, problem = %problem.message);
             match problem.kind {
+                _ if lease.is_evicted() => Refusal::NoMemory,
                 gradedyke_base::problem::Kind::TooLarge => self.deny(Refusal::TooLarge, age),
                 _ => Refusal::Malformed,
             }
         })?;
+        lease.pin();
         let affinity_id = meta.session.as_ref().or(meta.program.as_ref());
         let service = route
             .choose_service(affinity_id)
@@ -445,6 +456,7 @@
             uri: head.uri,
             headers: head.headers,
             body,
+            _body_memory: Arc::new(lease),
             arrived,
             deadline,
         })
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -6,10 +6,11 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use gradedyke_http::{Body, body};
+use gradedyke_http::Body;
+use gradedyke_http::body::Error;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::Entry;
@@ -18,6 +19,7 @@
 use super::refusal::Refusal;
 use crate::config::Kind;
 use crate::fleet::Query;
+use crate::memory::{Collector, Exhausted, Held, Lease, Metered};
 use gradedyke_policy::health::Failure;
 use gradedyke_policy::mechanism::Mechanism;
 
@@ -134,6 +136,16 @@
     Err(Refusal::Interrupted)
 }
 
+/// Reads a response body of at most [`MAX_RESPONSE_BYTES`] into memory of `lease`.
+async fn read_body(incoming: Incoming, lease: &Lease) -> Result<Collector, Error> {
+    let mut body = Limited::new(Metered::new(incoming, lease), MAX_RESPONSE_BYTES);
+    let mut collector = Collector::default();
+    while let Some(frame) = body.frame().await {
+        collector.push(frame?.into_data().unwrap_or_default());
+    }
+    Ok(collector)
+}
+
 /// Reads the response body and builds the response to the caller; `None` if the body is
 /// incomplete at the deadline or cannot be read.
 async fn read_response(
@@ -150,12 +162,20 @@
         prior,
     } = received;
     let (parts, incoming) = response.into_parts();
-    let read_body = Limited::new(incoming, MAX_RESPONSE_BYTES).collect();
-    let bytes: Bytes = match tokio::time::timeout_at(call.deadline, read_body).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
+    let lease = entry.memory.lease();
+    let read_body = read_body(incoming, &lease);
+    let result = tokio::select! {
+        result = tokio::time::timeout_at(call.deadline, read_body) => result,
+        () = lease.evicted() => Ok(Err(Exhausted.into())),
+    };
+    let body = match result {
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             tracing::info!(event = "answer_broke_off", request = %call.id,
                 server = %choice.id, %error);
+            if lease.is_evicted() {
+                return None;
+            }
             entry
                 .fleet
                 .record_failure(choice.key, Failure::ConnectionLost, Instant::now());
@@ -165,6 +185,7 @@
         }
         Err(_) => return None,
     };
+    lease.pin();
     if !head.close {
         choice
             .pool
@@ -175,9 +196,10 @@
         entry.crashes.record_completed(fingerprints, Instant::now());
     }
     tracing::info!(event = "answered", request = %call.id, server = %choice.id,
-        status = parts.status.as_u16(), bytes = bytes.len(),
+        status = parts.status.as_u16(), bytes = body.len(),
         ms = call.arrived.elapsed().as_millis());
-    let mut reply = Response::new(body::full(bytes));
+    let held = Held::new(body.finish(), lease);
+    let mut reply = Response::new(held.map_err(|never| match never {}).boxed_unsync());
     *reply.status_mut() = parts.status;
     *reply.headers_mut() = entry.dialect.response_headers(&parts.headers);
     Some(reply)
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -48,6 +48,8 @@
     /// Several backend servers ended while they ran the same request before. It has not run
     /// again.
     EndsServers,
+    /// The bodies of other requests take all memory for them. The request has not run.
+    NoMemory,
     /// The deadline passed before the request could be sent.
     TooLate,
     /// The request was sent, but no complete response arrived. It may have run.
@@ -85,6 +87,7 @@
             Refusal::ConversationTooLarge => "conversation_too_large",
             Refusal::BudgetExceeded => "spent",
             Refusal::EndsServers => "ends_servers",
+            Refusal::NoMemory => "no_memory",
             Refusal::TooLate => "too_late",
             Refusal::Interrupted => "broken",
             Refusal::TimedOut => "timed_out",
@@ -114,6 +117,7 @@
             | Refusal::Throttled
             | Refusal::ServiceFull(_)
             | Refusal::EndsServers
+            | Refusal::NoMemory
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -150,7 +154,7 @@
             | Refusal::Throttled
             | Refusal::AllowanceExceeded => expected_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             Refusal::StaleData => expected_wait.max(MIN_RETRY_AFTER),
-            Refusal::NoServer => MIN_RETRY_AFTER,
+            Refusal::NoServer | Refusal::NoMemory => MIN_RETRY_AFTER,
             _ => return None,
         };
         let factor = jitter.start + (jitter.end - jitter.start) * random;
@@ -189,6 +193,7 @@
             Refusal::EndsServers => {
                 "several backend servers ended while they ran it; change its content"
             }
+            Refusal::NoMemory => "too much is being received here; come back soon or send less",
             Refusal::TooLate => "the time was over before the request could be sent",
             Refusal::Interrupted => "the backend server broke off; the request may have run",
             Refusal::TimedOut => "the time is over; the request may have run",
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -23,6 +23,7 @@
 use crate::event::Splitter;
 use crate::fleet::Choice;
 use crate::link::Connection;
+use crate::memory::Lease;
 use gradedyke_policy::estimate::Timing;
 use gradedyke_policy::health;
 
@@ -30,6 +31,8 @@
 /// a slow server is detected before its response ends. Enough for two gaps, and a third of a
 /// response of usual length.
 const GAP_SAMPLE_EVENTS: u32 = 3;
+/// Largest body of an error response, in bytes.
+const MAX_ERROR_BYTES: usize = 64 << 10;
 /// Number of events buffered for a caller that reads slowly.
 const EVENT_BUFFER_LEN: usize = 64;
 /// Timeout for storing a turn after its last event.
@@ -45,7 +48,13 @@
 ) -> Response<Body> {
     let headers = entry.dialect.response_headers(received.response.headers());
     let status = received.response.status();
+    let memory = Arc::new(entry.memory.lease());
     let (sender, body) = body::channel(EVENT_BUFFER_LEN);
+    let sent = memory.clone();
+    let body = body.map_frame(move |frame| {
+        sent.shrink(frame.data_ref().map_or(0, Bytes::len));
+        frame
+    });
     let max_event_tokens = call.engine().map_or(1, |e| e.max_event_tokens);
     let relay = Relay {
         entry: entry.clone(),
@@ -62,10 +71,11 @@
         max_event_tokens,
         event_times: None,
         event_count: 0,
+        memory,
     };
     let incoming = received.response.into_body();
     tokio::spawn(relay.run(status, incoming, received.connection, received.head));
-    let mut response = Response::new(body);
+    let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
@@ -108,6 +118,8 @@
     event_times: Option<(Instant, Instant)>,
     /// Number of events from the current server.
     event_count: u32,
+    /// Memory of what was received and not sent yet, and of the output.
+    memory: Arc<Lease>,
 }
 
 /// How a stream ended.
@@ -123,6 +135,8 @@
     TimedOut,
     /// The turn could not be stored.
     NotStored,
+    /// There is no memory for what the server sends.
+    NoMemory,
 }
 
 impl Relay {
@@ -156,6 +170,7 @@
             End::CallerDisconnected => ("caller_left", ""),
             End::TimedOut => ("timed_out", ""),
             End::NotStored => ("not_kept", ""),
+            End::NoMemory => ("no_memory", ""),
         };
         let now = Instant::now();
         tracing::info!(event = "stream_ended", request = %self.call.id, end = name, cause,
@@ -187,7 +202,8 @@
             | End::TooManyTokens
             | End::CallerDisconnected
             | End::TimedOut
-            | End::NotStored => {}
+            | End::NotStored
+            | End::NoMemory => {}
         }
         self.reservation.settle(&self.entry, self.tokens);
         // The error aborts the connection, so that the caller can tell that the response is
@@ -207,9 +223,11 @@
                 fleet.record_failure(self.choice.key, failure, Instant::now());
                 return false;
             }
-            End::Complete | End::CallerDisconnected | End::TimedOut | End::NotStored => {
-                return false;
-            }
+            End::Complete
+            | End::CallerDisconnected
+            | End::TimedOut
+            | End::NotStored
+            | End::NoMemory => return false,
         };
         let now = Instant::now();
         self.entry
@@ -271,6 +289,7 @@
 
     async fn forward_events(&mut self, status: StatusCode, incoming: &mut Incoming) -> End {
         let mut events = Splitter::default();
+        let mut error_bytes = 0;
         loop {
             let (deadline, switch_server) = self.next_event_deadline();
             let frame = tokio::select! {
@@ -278,6 +297,7 @@
                 biased;
                 frame = tokio::time::timeout_at(deadline, incoming.frame()) => frame,
                 () = self.sender.closed() => return End::CallerDisconnected,
+                () = self.memory.evicted() => return End::NoMemory,
                 () = self.choice.process_ended.cancelled() => {
                     return End::Interrupted("the server process was restarted or has ended".to_owned());
                 }
@@ -289,6 +309,16 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => break,
             };
+            if self.memory.grow(data.len()).is_err() {
+                return End::NoMemory;
+            }
+            if !status.is_success() {
+                error_bytes += data.len();
+                if error_bytes > MAX_ERROR_BYTES {
+                    let cause = format!("error response exceeds {MAX_ERROR_BYTES} bytes");
+                    return End::Interrupted(cause);
+                }
+            }
             if let Err(error) = events.push(&data) {
                 return End::Interrupted(error.to_string());
             }
@@ -297,6 +327,9 @@
                     return End::TooManyTokens;
                 }
                 self.record_event(&event, Instant::now());
+                if !self.store_output(&event) {
+                    return End::NoMemory;
+                }
                 let event_id = self.entry.dialect.event_id(&event);
                 self.last_event_id = event_id
                     .map(Bytes::copy_from_slice)
@@ -377,7 +410,7 @@
         fleet.record_stream(self.choice.key, parts, generated, &timing);
     }
 
-    /// Adds an event to the turn and to the timing statistics.
+    /// Adds an event to the tokens and to the timing statistics.
     fn record_event(&mut self, event: &Bytes, now: Instant) {
         let first = self.event_times.map_or(now, |(first, _)| first);
         self.event_times = Some((first, now));
@@ -387,14 +420,22 @@
             let gap = (now - first) / (GAP_SAMPLE_EVENTS - 1);
             self.entry.fleet.record_event_gap(key, concurrent, gap, now);
         }
-        if let Some(data) = self.entry.dialect.event_data(event) {
-            self.output.extend_from_slice(data);
-            self.output.extend_from_slice(b"\n");
-        }
         self.tokens = self.tokens.saturating_add(self.max_event_tokens);
         tracing::debug!(event = "event", request = %self.call.id, text = ?event);
     }
 
+    /// Adds the data of an event to the output, if the turn is to be stored. Returns false if there
+    /// is no memory for it.
+    fn store_output(&mut self, event: &Bytes) -> bool {
+        let data = self.entry.dialect.event_data(event);
+        let Some(data) = data.filter(|_| self.call.route.retention.is_some()) else {
+            return true;
+        };
+        self.output.extend_from_slice(data);
+        self.output.extend_from_slice(b"\n");
+        self.memory.grow(data.len() + 1).is_ok()
+    }
+
     async fn send_event(&self, event: Bytes) -> bool {
         self.sender.send(Ok(event)).await.is_ok()
     }
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -40,7 +40,14 @@
 /// the caller before.
 pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
     let (transcript, reservation, is_late) = begin_turn(entry, &call).await?;
-    let upstream = StreamRequest::new(transcript, &call.body, is_late);
+    let memory = entry.memory.lease();
+    let conversation_bytes = transcript.as_ref().map_or(0, |t| t.body.len());
+    if memory.grow(conversation_bytes).is_err() {
+        reservation.settle(entry, 0);
+        return Err(Refusal::NoMemory);
+    }
+    memory.pin();
+    let upstream = StreamRequest::new(transcript, &call.body, is_late, memory);
     let response = match upstream.open(entry, &call, None).await {
         Ok(response) => response,
         Err(refusal) => {
--- a/crates/gradedyke-gateway/src/entry/upstream.rs
+++ b/crates/gradedyke-gateway/src/entry/upstream.rs
@@ -10,6 +10,7 @@
 use super::call::Call;
 use super::refusal::Refusal;
 use crate::fleet::{Choice, Query};
+use crate::memory::Lease;
 
 /// The stored conversation that a request continues.
 struct Continued {
@@ -24,12 +25,20 @@
     continued: Option<Continued>,
     body: Bytes,
     attempts: Attempts,
+    /// Memory of the conversation.
+    _memory: Lease,
 }
 
 impl StreamRequest {
     /// Creates the request with this new `input`. `transcript` is the stored conversation that it
     /// continues, `is_late` whether its program can no longer end in time.
-    pub(super) fn new(transcript: Option<Transcript>, input: &Bytes, is_late: bool) -> Self {
+    /// `memory` is that of the conversation.
+    pub(super) fn new(
+        transcript: Option<Transcript>,
+        input: &Bytes,
+        is_late: bool,
+        memory: Lease,
+    ) -> Self {
         let continued = transcript.as_ref().map(|transcript| Continued {
             bytes: transcript.body.len(),
             server: transcript.server.clone(),
@@ -42,6 +51,7 @@
             continued,
             body,
             attempts: Attempts::new(is_late),
+            _memory: memory,
         }
     }
 
--- a/crates/gradedyke-gateway/src/lib.rs
+++ b/crates/gradedyke-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 //! - [`event`]: splitting of event streams.
 //! - [`entry`]: handling of requests and responses.
 //! - [`follow`]: updates of a process's copy of the platform's data.
+//! - [`memory`]: memory for the bodies that a process holds.
 //! - [`meter`]: metrics recorder and metrics page.
 //! - [`process`]: start and shutdown of a process.
 
@@ -40,6 +41,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod link;
+pub mod memory;
 pub mod meter;
 pub mod process;
 pub mod settings;
--- a/crates/gradedyke-gateway/src/link.rs
+++ b/crates/gradedyke-gateway/src/link.rs
@@ -42,6 +42,9 @@
 /// A connection is no longer used when less than this is left until the server's idle timeout,
 /// to allow for network latency and short stalls of either side.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(300);
+/// Maximum size of a response head and of what is read ahead of a body, in bytes. A server that
+/// sends a longer head fails its own request.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept for one server.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -171,9 +174,10 @@
             .map_err(|_| not_sent("connect timed out".to_owned()))?
             .map_err(|e| not_sent(e.to_string()))?;
         set_socket_options(&stream).map_err(|e| not_sent(e.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| not_sent(e.to_string()))?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|e| not_sent(e.to_string()))?;
         metrics::counter!("gradedyke_backend_connections_total").increment(1);
         let address = self.address;
         tokio::spawn(async move {
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -28,6 +28,7 @@
 use crate::entry::crash::Monitor;
 use crate::entry::{self, CallerHandler, Entry, ReadinessHandler};
 use crate::fleet::Fleet;
+use crate::memory::Pool;
 use crate::settings::Settings;
 use crate::{follow, meter};
 use gradedyke_policy::admission::Admission;
@@ -174,6 +175,7 @@
             limiter: Limiter::new(rand::random(), settings.allowance_window(), Instant::now()),
             demand: Demand::default(),
             throttle: Throttle::default(),
+            memory: Pool::new(settings.body_memory()),
             crashes,
             outages: History::default(),
             admission: Admission::default(),
--- a/crates/gradedyke-gateway/src/settings.rs
+++ b/crates/gradedyke-gateway/src/settings.rs
@@ -84,6 +84,10 @@
     /// Length of the window to which the allowance of a client account applies, in seconds.
     #[serde(default = "default_allowance_window_s")]
     pub allowance_window_s: f64,
+    /// Memory of the instance, in MB (10^6 bytes). An entry holds bodies of requests and responses
+    /// in part of it. If unset, 256.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
     /// How an entry chooses servers.
     #[serde(default)]
     pub decisions: Decisions,
@@ -111,6 +115,14 @@
 /// Placement policy used if the settings name none.
 const DEFAULT_PLACEMENT: &str = "cost";
 
+/// Part of an instance's memory for bodies. The rest is for the entry itself, its connections and
+/// the copies that are made while a body is received and sent.
+const BODY_MEMORY_RATIO: f64 = 0.3;
+
+fn default_memory_mb() -> usize {
+    256
+}
+
 fn default_tolerate() -> usize {
     1
 }
@@ -147,6 +159,11 @@
 const MIN_REVOCATION_MS: u64 = 3_000;
 
 impl Settings {
+    /// The memory for bodies of requests and responses, in bytes.
+    pub fn body_memory(&self) -> usize {
+        (self.memory_mb as f64 * 1e6 * BODY_MEMORY_RATIO) as usize
+    }
+
     /// Reads and checks the settings in `text`, which came from `file`.
     ///
     /// # Errors
