Let connections that are reading a request finish at a planned stop

A stopping entry ended as soon as it had no request in progress, and a request counts as that only when its head has been read: one whose bytes had arrived, and which a task was about to read, was aborted. It now ends when all callers' connections have ended, which close when they are idle or have answered, or shortly before its grace is over.

Test: request_that_is_being_read_at_a_planned_stop_is_answered; before, the connection was closed without an answer.

--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -56,8 +56,6 @@
 const BALANCER_NOTICE_DELAY: Duration = Duration::from_millis(2_300);
 /// Part of the grace period that is reserved for the shutdown itself.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
-/// Interval at which a draining entry checks whether all requests have ended.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Maximum number of caller connections. Three quarters of 4,100 descriptors, where each caller
 /// takes up to one more towards a server.
 const MAX_CALLER_CONNECTIONS: usize = 1_500;
@@ -76,6 +74,8 @@
     entry: Option<Arc<Entry>>,
     settings: Arc<ArcSwap<Settings>>,
     addresses: Addresses,
+    /// Cancelled when all callers' connections have ended after the stop.
+    callers_served: CancellationToken,
 }
 
 /// Addresses that a process listens on, with the actual ports where port 0 was configured.
@@ -126,6 +126,7 @@
             entry,
             settings: Arc::new(ArcSwap::from_pointee(settings)),
             addresses: Addresses::default(),
+            callers_served: CancellationToken::new(),
         }
     }
 
@@ -225,7 +226,12 @@
         };
         let caller_server = bind(caller, config.clone(), "listen.caller").await?;
         process.addresses.caller = Some(caller_server.address()?);
-        tasks.spawn(caller_server.serve(Arc::new(CallerHandler(entry.clone())), stop.clone()));
+        let serve = caller_server.serve(Arc::new(CallerHandler(entry.clone())), stop.clone());
+        let callers_served = process.callers_served.clone();
+        tasks.spawn(async move {
+            serve.await;
+            callers_served.cancel();
+        });
         let ready_server = bind(ready, config, "listen.ready").await?;
         process.addresses.ready = Some(ready_server.address()?);
         tasks.spawn(ready_server.serve(Arc::new(ReadinessHandler(entry)), stop));
@@ -373,15 +379,16 @@
         if let Some(entry) = self.entry.clone() {
             entry.drain.cancel();
             tokio::time::sleep_until(deadline.min(started_at + BALANCER_NOTICE_DELAY)).await;
-            // Stops accepting connections and closes idle ones.
+            // Stops accepting connections and closes idle ones. A connection that is reading a
+            // request has no request in progress yet, and is waited for as well.
             self.stop.cancel();
-            while entry.active_requests.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
-                tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            }
+            let served = self.callers_served.cancelled();
+            let is_served = tokio::time::timeout_at(deadline, served).await.is_ok();
             let left = entry.active_requests.load(Ordering::Relaxed);
             tracing::info!(
                 event = "stopped",
                 ms = started_at.elapsed().as_millis(),
+                is_served,
                 left
             );
         } else {
