--- a/crates/gradedyke-gateway/src/entry/crash.rs
+++ b/crates/gradedyke-gateway/src/entry/crash.rs
@@ -24,6 +24,8 @@
 /// at once, which the directory tells later.
 const RESTART_WATCH: Duration = Duration::from_secs(3);
 
+/// Interval between updates of the gauges, which go through all known requests.
+const GAUGES_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time after the start for which requests wait until a keeper has told what it knows.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -37,6 +39,8 @@
     sending: tokio::sync::Mutex<()>,
     /// When requests no longer wait for the keepers' first reports.
     sync_deadline: Instant,
+    /// When the gauges were last updated.
+    gauges_at: Mutex<Instant>,
 }
 
 /// A run that broke off.
@@ -58,6 +62,7 @@
             pending: Mutex::default(),
             sending: tokio::sync::Mutex::default(),
             sync_deadline: now + SYNC_TIMEOUT,
+            gauges_at: Mutex::new(now),
         })
     }
 
@@ -226,8 +231,19 @@
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Forgets old requests and updates the gauges of those that are known.
+    /// Forgets old requests and updates the gauges of those that are known, at most once in
+    /// [`GAUGES_INTERVAL`].
     pub(crate) fn record_gauges(&self, now: Instant) {
+        {
+            let mut gauges_at = self
+                .gauges_at
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            if now.saturating_duration_since(*gauges_at) < GAUGES_INTERVAL {
+                return;
+            }
+            *gauges_at = now;
+        }
         self.registry.remove_expired(now);
         let entries = self.registry.entries(now);
         let refused = entries
