Experiment: servers ended by fatal requests, and what it costs others

gradedyke-load run crashes starts entries and keepers against stand-ins whose servers end under certain contents and are replaced after 300 ms, by kind of request, number of entries, and one or a hundred such requests at once. The stand-in can work on a request for a time.

--- a/crates/gradedyke-load/src/main.rs
+++ b/crates/gradedyke-load/src/main.rs
@@ -5,6 +5,7 @@
 //! Absolute times vary on a shared machine. An experiment therefore measures the variants that
 //! it compares in the same run.
 
+mod crashes;
 mod decision;
 mod instance;
 mod listing;
@@ -30,7 +31,11 @@
 ";
 
 /// Names and descriptions of the experiments.
-const EXPERIMENTS: [(&str, &str); 9] = [
+const EXPERIMENTS: [(&str, &str); 10] = [
+    (
+        "crashes",
+        "backend servers ended by requests that end each one, and what it costs other requests",
+    ),
     (
         "decision",
         "CPU time of choosing a server, by the number of servers",
@@ -105,6 +110,7 @@
 
 async fn run_experiment(name: &str, short: bool) -> eyre::Result<Value> {
     match name {
+        "crashes" => crashes::run(short).await,
         "overhead" => overhead::run(short).await,
         "decision" => decision::measure(short),
         "listing" => listing::measure(short),
