Count attempts side by side against the limit of ended servers, and check ends longer

The servers that count and the attempts in flight together now stay within the limit.

With 50 entries one unsafe request ended 4 as well. Not traced; by reading, a server whose connections close before its listening socket was taken for alive. A check now also waits 15 ms for the new connection to be closed.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use gradedyke_turns::crash::MAX_ENDED_SERVERS;
 use gradedyke_turns::record::Id;
 
 use super::Entry;
@@ -85,6 +86,8 @@
     /// Number of servers that the request was or is being sent to.
     sent_count: u32,
     unreachable_count: u32,
+    /// Number of servers that the request is being sent to, until their response heads.
+    in_flight: u8,
 }
 
 impl State {
@@ -119,12 +122,15 @@
         self.lock().has_attempt_left(call)
     }
 
-    /// Reserves an attempt if one is left. Returns whether it did.
-    fn reserve(&self, call: &Call) -> bool {
+    /// Reserves an attempt if one is left. Returns whether it did. `ended` is the number of servers
+    /// that ended under the request: the attempts in flight may end as many more.
+    fn reserve(&self, call: &Call, ended: u8) -> bool {
         let mut state = self.lock();
-        let has_attempt_left = state.has_attempt_left(call);
-        state.sent_count += u32::from(has_attempt_left);
-        has_attempt_left
+        let may_end = ended.saturating_add(state.in_flight);
+        let is_allowed = state.has_attempt_left(call) && may_end < MAX_ENDED_SERVERS;
+        state.sent_count += u32::from(is_allowed);
+        state.in_flight += u8::from(is_allowed);
+        is_allowed
     }
 
     /// Counts a reserved attempt as one at an unreachable server.
@@ -135,6 +141,15 @@
     }
 }
 
+/// Guard of a reserved attempt, which is in flight until the guard is dropped.
+struct InFlight<'a>(&'a Attempts);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.lock().in_flight -= 1;
+    }
+}
+
 /// Sends the request to one server after the other until one responds. The fleet
 /// selects each server by `query`. If `last_event_id` is given, the server resumes the
 /// stream after that event.
@@ -153,9 +168,10 @@
 ) -> Result<ServerResponse, Refusal> {
     while attempts.has_attempt_left(call) {
         let suspect = suspect(entry, call, attempts, body)?;
-        if !attempts.reserve(call) {
+        if !attempts.reserve(call, suspect.ended) {
             break;
         }
+        let _in_flight = InFlight(attempts);
         let choice = choose_server(entry, call, attempts, query, suspect.rank);
         let choice = choice.ok_or(Refusal::NoServer)?;
         if will_miss_deadline(call, &choice) {
@@ -177,6 +193,8 @@
 /// What is known of a request that is about to be sent.
 #[derive(Clone, Copy, Debug, Default)]
 struct Suspect {
+    /// Number of servers that count for it.
+    ended: u8,
     /// Number of servers that count for its content.
     prior: u8,
     /// Its position among the requests that ran at the same server when it ended; `None` if no
@@ -204,6 +222,7 @@
         return Err(Refusal::EndsServers);
     }
     Ok(Suspect {
+        ended: entry.crashes.ended(fingerprints, now),
         prior: entry.crashes.prior(fingerprints, now),
         rank: entry.crashes.rank(fingerprints),
     })
--- a/crates/gradedyke-gateway/src/entry/crash.rs
+++ b/crates/gradedyke-gateway/src/entry/crash.rs
@@ -93,10 +93,10 @@
         self.registry.count(fingerprints.content, now)
     }
 
-    /// Whether the request has ended a server before and has not completed since.
-    pub(super) fn is_suspect(&self, fingerprints: &Fingerprints, now: Instant) -> bool {
-        let mut all = fingerprints.iter();
-        all.any(|f| self.registry.count(f, now) > 0)
+    /// Number of servers that count for a request by any of its fingerprints.
+    pub(super) fn ended(&self, fingerprints: &Fingerprints, now: Instant) -> u8 {
+        let counts = fingerprints.iter().map(|f| self.registry.count(f, now));
+        counts.max().unwrap_or_default()
     }
 
     /// Position of a suspect request among those that ran at the same server when it ended.
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -67,7 +67,7 @@
         return false;
     }
     let fingerprints = attempts.fingerprints(call, &call.body);
-    entry.crashes.is_suspect(fingerprints, Instant::now())
+    entry.crashes.ended(fingerprints, Instant::now()) > 0
 }
 
 /// Returns `result` if it is a response, and otherwise that of `other`. If both are refusals, one
--- a/crates/gradedyke-gateway/src/link.rs
+++ b/crates/gradedyke-gateway/src/link.rs
@@ -25,6 +25,9 @@
 /// Connect timeout of a check whether a server has ended. Callers come back after 100 ms and have
 /// to be recognized then.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(80);
+/// How long a new connection must stay open in such a check. While a process ends, the system may
+/// close its connections before the socket on which it accepts others.
+const CLOSE_WAIT: Duration = Duration::from_millis(15);
 /// How long sent data may stay unacknowledged (`TCP_USER_TIMEOUT`). Detects a server that is
 /// powered off or disconnected. A slow server keeps its connection, because its kernel
 /// acknowledges the data, unless its receive buffer stays full for this long. Leaves time for
@@ -94,6 +97,24 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Whether a new connection is still open after [`CLOSE_WAIT`].
+async fn stays_open(stream: &TcpStream) -> bool {
+    let closed = async {
+        loop {
+            if stream.readable().await.is_err() {
+                return;
+            }
+            match stream.try_read(&mut [0; 1]) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return,
+                // It sends unasked, but it is there.
+                Ok(_) => std::future::pending().await,
+            }
+        }
+    };
+    tokio::time::timeout(CLOSE_WAIT, closed).await.is_err()
+}
+
 /// Idle connections to one backend server; opens new ones as needed.
 pub struct Pool {
     address: SocketAddr,
@@ -131,8 +152,10 @@
         }
         let started_at = Instant::now();
         let connect = TcpStream::connect(self.address);
-        let result = tokio::time::timeout(CHECK_TIMEOUT, connect).await;
-        let is_listening = matches!(result, Ok(Ok(_)));
+        let is_listening = match tokio::time::timeout(CHECK_TIMEOUT, connect).await {
+            Ok(Ok(stream)) => stays_open(&stream).await,
+            _ => false,
+        };
         *last_check = Some((started_at, is_listening));
         is_listening
     }
