--- a/crates/gradedyke-turns/src/snapshot.rs
+++ b/crates/gradedyke-turns/src/snapshot.rs
@@ -16,6 +16,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -140,32 +141,63 @@
     }
 }
 
-/// Writes `mirror` to `folder` whenever it has changed, until `stop` is cancelled.
-pub async fn save_mirror_on_change(mirror: Arc<Mirror>, folder: PathBuf, stop: CancellationToken) {
-    let mut changed = mirror.subscribe();
-    loop {
-        tokio::select! {
-            changed = changed.changed() => {
-                if changed.is_err() {
-                    return;
+/// A snapshot that is written whenever its contents have changed.
+struct Target {
+    folder: PathBuf,
+    /// Name of the file.
+    name: &'static str,
+    /// Pause after a write.
+    interval: Duration,
+    /// Name of the log event of a failed write.
+    failure: &'static str,
+}
+
+impl Target {
+    /// Writes what `export` returns whenever `changed` tells of a change, until `stop` is
+    /// cancelled.
+    async fn write_on_change<T: Serialize + Send + 'static>(
+        self,
+        mut changed: watch::Receiver<u64>,
+        export: impl Fn() -> T,
+        stop: CancellationToken,
+    ) {
+        loop {
+            tokio::select! {
+                changed = changed.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
                 }
+                () = stop.cancelled() => return,
+            }
+            let (value, folder, name) = (export(), self.folder.clone(), self.name);
+            let result = tokio::task::spawn_blocking(move || write(&folder, name, &value)).await;
+            if let Ok(Err(error)) = result {
+                tracing::warn!(event = self.failure, %error,
+                    remedy = "check the disk; the copy is needed only if all processes are lost");
+            }
+            tokio::select! {
+                () = tokio::time::sleep(self.interval) => {}
+                () = stop.cancelled() => return,
             }
-            () = stop.cancelled() => return,
-        }
-        let items = mirror.items();
-        let target = folder.clone();
-        let result = tokio::task::spawn_blocking(move || write(&target, MIRROR_FILE, &items)).await;
-        if let Ok(Err(error)) = result {
-            tracing::warn!(event = "mirror_not_written", %error,
-                remedy = "check the disk; the copy is needed only if all processes are lost");
-        }
-        tokio::select! {
-            () = tokio::time::sleep(MIRROR_WRITE_INTERVAL) => {}
-            () = stop.cancelled() => return,
         }
     }
 }
 
+/// Writes `mirror` to `folder` whenever it has changed, until `stop` is cancelled.
+pub async fn save_mirror_on_change(mirror: Arc<Mirror>, folder: PathBuf, stop: CancellationToken) {
+    let target = Target {
+        folder,
+        name: MIRROR_FILE,
+        interval: MIRROR_WRITE_INTERVAL,
+        failure: "mirror_not_written",
+    };
+    let changed = mirror.subscribe();
+    target
+        .write_on_change(changed, || mirror.items(), stop)
+        .await;
+}
+
 /// Loads the requests under which backend servers ended from `folder` into `crashes`. Does nothing
 /// if the snapshot is missing or damaged.
 pub fn load_crashes(crashes: &Registry, folder: &Path, now: Instant) {
@@ -182,29 +214,17 @@
     folder: PathBuf,
     stop: CancellationToken,
 ) {
-    let mut changed = crashes.subscribe();
-    loop {
-        tokio::select! {
-            changed = changed.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-            }
-            () = stop.cancelled() => return,
-        }
+    let target = Target {
+        folder,
+        name: CRASHES_FILE,
+        interval: CRASHES_WRITE_INTERVAL,
+        failure: "crashes_not_written",
+    };
+    let export = || {
         let now = Instant::now();
         crashes.remove_expired(now);
-        let (reports, _) = crashes.changed_since(0, usize::MAX, now);
-        let target = folder.clone();
-        let result =
-            tokio::task::spawn_blocking(move || write(&target, CRASHES_FILE, &reports)).await;
-        if let Ok(Err(error)) = result {
-            tracing::warn!(event = "crashes_not_written", %error,
-                remedy = "check the disk; the copy is needed only if all processes are lost");
-        }
-        tokio::select! {
-            () = tokio::time::sleep(CRASHES_WRITE_INTERVAL) => {}
-            () = stop.cancelled() => return,
-        }
-    }
+        crashes.changed_since(0, usize::MAX, now).0
+    };
+    let changed = crashes.subscribe();
+    target.write_on_change(changed, export, stop).await;
 }
