--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -6,11 +6,11 @@
 
 use std::sync::Arc;
 
-use gradedyke_http::Body;
+use bytes::Bytes;
 use gradedyke_http::body::Error;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
 use super::Entry;
@@ -26,7 +26,7 @@
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-type ServeResult = Result<Response<Body>, Refusal>;
+type ServeResult = Result<Response<gradedyke_http::Body>, Refusal>;
 
 /// Sends the request to backend servers and returns the response of one of them.
 ///
@@ -136,9 +136,26 @@
     Err(Refusal::Interrupted)
 }
 
-/// Reads a response body of at most [`MAX_RESPONSE_BYTES`] into memory of `lease`.
+/// Reads a response body of at most [`MAX_RESPONSE_BYTES`] into memory of `lease`. One whose length
+/// is known is read once there is room for it.
 async fn read_body(incoming: Incoming, lease: &Lease) -> Result<Collector, Error> {
-    let mut body = Limited::new(Metered::new(incoming, lease), MAX_RESPONSE_BYTES);
+    let Some(length) = incoming.size_hint().exact() else {
+        return collect(Metered::new(incoming, lease)).await;
+    };
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    if length > MAX_RESPONSE_BYTES {
+        return Err(format!("the answer has over {MAX_RESPONSE_BYTES} bytes").into());
+    }
+    lease.reserve(length).await?;
+    collect(incoming).await
+}
+
+async fn collect<B>(body: B) -> Result<Collector, Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Error>,
+{
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
     let mut collector = Collector::default();
     while let Some(frame) = body.frame().await {
         collector.push(frame?.into_data().unwrap_or_default());
@@ -153,7 +170,7 @@
     call: &Call,
     attempts: &Attempts,
     received: ServerResponse,
-) -> Option<Response<Body>> {
+) -> Option<Response<gradedyke_http::Body>> {
     let ServerResponse {
         choice,
         connection,
--- a/crates/gradedyke-gateway/src/memory.rs
+++ b/crates/gradedyke-gateway/src/memory.rs
@@ -1,8 +1,9 @@
 //! Memory for the bodies that a process holds, shared by all its requests.
 //!
-//! Each body is bounded, but many at once would exceed the memory of the instance. If all of them
-//! together exceed the limit, the largest one that may be given up is given up, so a server that
-//! sends bytes without end costs only its own request.
+//! Each body is bounded, but many at once would exceed the memory of the instance. A body whose
+//! length is known is read once there is room for all of it. If bodies of unknown length exceed the
+//! limit, the largest one that may be given up is given up, so a server that sends bytes without end
+//! costs only its own request.
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -14,6 +15,7 @@
 use gradedyke_http::body::Error;
 use hyper::body::{Body, Frame, SizeHint};
 use slotmap::{SlotMap, new_key_type};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 new_key_type! {
@@ -52,6 +54,8 @@
 pub struct Pool {
     limit: usize,
     state: Mutex<State>,
+    /// Notified when bytes are freed.
+    freed: Notify,
 }
 
 impl Pool {
@@ -73,6 +77,7 @@
         Arc::new(Self {
             limit,
             state: Mutex::default(),
+            freed: Notify::new(),
         })
     }
 
@@ -166,6 +171,39 @@
         Ok(())
     }
 
+    /// Takes `bytes` more once there is room for them, without giving up another body.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] if there never is room for them.
+    pub async fn reserve(&self, bytes: usize) -> Result<(), Exhausted> {
+        if bytes <= SMALL_BODY_BYTES {
+            return self.grow(bytes);
+        }
+        if bytes > self.pool.limit {
+            return Err(Exhausted);
+        }
+        loop {
+            let freed = self.pool.freed.notified();
+            if self.try_reserve(bytes) {
+                return Ok(());
+            }
+            freed.await;
+        }
+    }
+
+    fn try_reserve(&self, bytes: usize) -> bool {
+        let mut state = self.pool.lock();
+        if state.used + bytes > self.pool.limit {
+            return false;
+        }
+        state.used += bytes;
+        if let Some(holder) = state.holders.get_mut(self.key) {
+            holder.bytes += bytes;
+        }
+        true
+    }
+
     /// Frees `bytes`.
     pub fn shrink(&self, bytes: usize) {
         let mut state = self.pool.lock();
@@ -174,6 +212,8 @@
             holder.bytes -= freed;
             state.used -= freed;
         }
+        drop(state);
+        self.pool.freed.notify_waiters();
     }
 
     /// Keeps the body from being given up, because its request is being run or it is being sent.
@@ -200,6 +240,8 @@
         if let Some(holder) = state.holders.remove(self.key) {
             state.used -= holder.bytes;
         }
+        drop(state);
+        self.pool.freed.notify_waiters();
     }
 }
 
