--- a/crates/gradedyke-load/src/crashes.rs
+++ b/crates/gradedyke-load/src/crashes.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use gradedyke_gateway::memory::Pool;
 use gradedyke_gateway::process::{Environment, Process};
 use gradedyke_gateway::settings::Settings;
 use gradedyke_http::body;
@@ -18,6 +19,7 @@
 use gradedyke_site::store::KeyValueClient;
 use gradedyke_site_standin::backend::{Actions, Backend, FATAL_TEXT};
 use gradedyke_site_standin::store::Store;
+use gradedyke_turns::crash::{Fingerprint, Registry, Scope};
 use http::Request;
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
@@ -47,6 +49,12 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a caller waits, in milliseconds.
 const TIMEOUT_MS: &str = "4000";
+/// Size of the content whose costs are measured, in bytes.
+const CONTENT_BYTES: usize = 10_000;
+/// Number of rounds of a measurement, of which the fastest is reported.
+const ROUNDS: u32 = 7;
+/// Repetitions in a round.
+const WORK_PER_ROUND: u32 = 10_000;
 /// Host name of all routes.
 const HOST: &str = "shop.example";
 
@@ -329,6 +337,45 @@
     }))
 }
 
+/// Returns the mean time of `work` in nanoseconds, the fastest of several rounds.
+fn measure_ns(mut work: impl FnMut()) -> f64 {
+    let rounds = (0..ROUNDS).map(|_| {
+        let started = Instant::now();
+        (0..WORK_PER_ROUND).for_each(|_| work());
+        started.elapsed().as_nanos() as f64 / f64::from(WORK_PER_ROUND)
+    });
+    rounds.fold(f64::INFINITY, f64::min)
+}
+
+/// Measures what a request costs while no server has ended, and while one has.
+fn measure_costs() -> Value {
+    let registry = Registry::default();
+    let pool = Pool::new(100_000_000);
+    let content = vec![b'x'; CONTENT_BYTES];
+    let checks = measure_ns(|| {
+        // Once for each attempt and once for the response.
+        std::hint::black_box((registry.is_empty(), registry.is_empty()));
+    });
+    let memory = measure_ns(|| {
+        // The body of the request and that of the response.
+        for _ in 0..2 {
+            let lease = pool.lease();
+            // The pool has room.
+            let _ = lease.grow(CONTENT_BYTES);
+            lease.shrink(CONTENT_BYTES);
+        }
+    });
+    let fingerprints = measure_ns(|| {
+        for scope in [Scope::Program, Scope::Content] {
+            std::hint::black_box(Fingerprint::new(scope, &[Some(&content)]));
+        }
+    });
+    json!({
+        "checks_ns": checks, "memory_ns": memory, "content_bytes": CONTENT_BYTES,
+        "fingerprints_while_suspects_are_known_ns": fingerprints,
+    })
+}
+
 /// Runs the experiment.
 pub async fn run(short: bool) -> eyre::Result<Value> {
     let entry_counts = if short {
@@ -344,5 +391,8 @@
             }
         }
     }
-    Ok(json!({ "servers": SERVER_COUNT, "other_callers": OTHER_CALLERS, "results": results }))
+    Ok(json!({
+        "servers": SERVER_COUNT, "other_callers": OTHER_CALLERS, "results": results,
+        "costs_of_a_request": measure_costs(),
+    }))
 }
