Keepers reply to reports of ended servers when these are on disk

The caller's answer had told nobody to wait for that. A keeper now replies to a report when it is on disk, 60 ms later at most, and an entry that starts is ready when a majority of the keepers has told what they know, where any one was enough.

--- a/crates/gradedyke-gateway/src/entry/crash.rs
+++ b/crates/gradedyke-gateway/src/entry/crash.rs
@@ -26,7 +26,7 @@
 
 /// Interval between updates of the gauges, which go through all known requests.
 const GAUGES_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time after the start for which requests wait until a keeper has told what it knows.
+/// Longest time after the start for which requests wait until most keepers have told what they know.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Recognizes requests under which backend servers ended.
@@ -71,7 +71,7 @@
         now >= self.sync_deadline || *self.registry.subscribe_synced().borrow()
     }
 
-    /// Waits until a keeper has told what it knows, for a limited time after the start. A process
+    /// Waits until most keepers have told what they know, for a limited time after the start. A process
     /// that was restarted would send on what others refuse.
     pub(super) async fn wait_until_synced(&self, now: Instant) {
         if self.is_synced(now) {
--- a/crates/gradedyke-turns/src/crash/exchange.rs
+++ b/crates/gradedyke-turns/src/crash/exchange.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use gradedyke_peer::Client;
@@ -137,16 +138,18 @@
     stop: CancellationToken,
 ) {
     let mut followed: HashMap<SocketAddr, DropGuard> = HashMap::new();
+    let start = Arc::new(Start::default());
     loop {
         let current = sources();
+        start.needed.store(current.len() / 2 + 1, Ordering::Relaxed);
         followed.retain(|source, _| current.contains(source));
         for source in current {
             followed.entry(source).or_insert_with(|| {
                 let token = stop.child_token();
-                let (registry, peers) = (registry.clone(), peers.clone());
+                let (registry, peers, start) = (registry.clone(), peers.clone(), start.clone());
                 let following = token.clone();
                 tokio::spawn(async move {
-                    let follow = follow_one(&registry, &*peers, source);
+                    let follow = follow_one(&registry, &*peers, source, &start);
                     following.run_until_cancelled(follow).await;
                 });
                 token.drop_guard()
@@ -164,8 +167,27 @@
     }
 }
 
+/// How many processes have told what they know since the start. A report is on the disks of a
+/// majority, so a majority has to tell.
+#[derive(Default)]
+struct Start {
+    told: AtomicUsize,
+    needed: AtomicUsize,
+}
+
+impl Start {
+    /// Records the first reply of a process.
+    fn record(&self, registry: &Registry) {
+        let told = self.told.fetch_add(1, Ordering::Relaxed) + 1;
+        if told >= self.needed.load(Ordering::Relaxed) {
+            registry.set_synced();
+        }
+    }
+}
+
 /// Follows the registry of one process, and tells it what it may have lost with a restart.
-async fn follow_one(registry: &Registry, peers: &dyn Peers, source: SocketAddr) {
+async fn follow_one(registry: &Registry, peers: &dyn Peers, source: SocketAddr, start: &Start) {
+    let mut has_told = false;
     let mut cursor = Cursor::default();
     let mut reports = Vec::new();
     // The first reply tells whether the process has restarted, and is therefore not waited for.
@@ -180,7 +202,9 @@
         let update = match peers.call(source, &request, wait + CALL_MARGIN).await {
             Ok(Reply::Crashes(update)) => update,
             Ok(_) => {
-                registry.set_synced();
+                if !std::mem::replace(&mut has_told, true) {
+                    start.record(registry);
+                }
                 tokio::time::sleep(UNSUPPORTED_RETRY_DELAY).await;
                 continue;
             }
@@ -196,7 +220,9 @@
             (reports, _) = registry.changed_since(0, MAX_PAGE_REPORTS, now);
         }
         cursor = update.next;
-        registry.set_synced();
+        if !std::mem::replace(&mut has_told, true) {
+            start.record(registry);
+        }
         wait = if reports.is_empty() {
             LONG_POLL_WAIT
         } else {
--- a/crates/gradedyke-turns/src/crash/registry.rs
+++ b/crates/gradedyke-turns/src/crash/registry.rs
@@ -73,8 +73,10 @@
     boot: u64,
     table: Mutex<Table>,
     changed: watch::Sender<u64>,
-    /// Whether another process has told what it knows.
+    /// Whether enough other processes have told what they know.
     synced: watch::Sender<bool>,
+    /// Sequence number of the last change that is on disk.
+    saved: watch::Sender<u64>,
 }
 
 impl Default for Registry {
@@ -84,6 +86,7 @@
             table: Mutex::default(),
             changed: watch::Sender::new(0),
             synced: watch::Sender::new(false),
+            saved: watch::Sender::new(0),
         }
     }
 }
@@ -103,17 +106,33 @@
         self.changed.subscribe()
     }
 
-    /// Returns a receiver of whether another process has told what it knows.
+    /// Returns a receiver of whether enough other processes have told what they know.
     pub fn subscribe_synced(&self) -> watch::Receiver<bool> {
         self.synced.subscribe()
     }
 
-    /// Records that another process has told what it knows, or cannot.
+    /// Records that enough other processes have told what they know, or cannot.
     pub(super) fn set_synced(&self) {
         self.synced
             .send_if_modified(|synced| !std::mem::replace(synced, true));
     }
 
+    /// Records that all changes up to this sequence number are on disk.
+    pub(crate) fn set_saved(&self, change: u64) {
+        self.saved.send_replace(change);
+    }
+
+    /// Waits until all changes so far are on disk.
+    pub(crate) async fn wait_until_saved(&self) {
+        let change = *self.changed.borrow();
+        // Fails only if the registry is dropped.
+        let _ = self
+            .saved
+            .subscribe()
+            .wait_for(|saved| *saved >= change)
+            .await;
+    }
+
     /// Whether nothing is known, so that no request needs to be recognized.
     pub fn is_empty(&self) -> bool {
         *self.changed.borrow() == 0 || self.lock().requests.is_empty()
--- a/crates/gradedyke-turns/src/desk.rs
+++ b/crates/gradedyke-turns/src/desk.rs
@@ -24,6 +24,9 @@
 /// How long a request waits for a replica that is still opening before it is answered with
 /// [`Reply::Starting`]. A third of the timeout of an entry.
 const STARTUP_WAIT: Duration = Duration::from_millis(100);
+/// Longest time for which the reply to a report waits until the report is on disk. Callers are back
+/// 100 ms after the end of a server.
+const SAVE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Maximum number of concurrent [`Request::Begin`] requests; limits memory. [`Backlog`] limits
 /// latency. So many take 320 ms at 600 per second, while entries wait 300 ms.
 const MAX_CONCURRENT_BEGINS: usize = 192;
@@ -154,7 +157,14 @@
             return feed::age_reply(&self.mirror, Instant::now());
         }
         if let Request::Crashes(exchange) = request {
-            return Reply::Crashes(crash::answer(&self.crashes, exchange).await);
+            let has_reports = !exchange.reports.is_empty();
+            let update = crash::answer(&self.crashes, exchange).await;
+            if has_reports {
+                // A slow disk delays the reply no longer; the reports are known already.
+                let saved = self.crashes.wait_until_saved();
+                let _ = tokio::time::timeout(SAVE_TIMEOUT, saved).await;
+            }
+            return Reply::Crashes(update);
         }
         let is_begin = matches!(request, Request::Begin(_));
         let Some(_permit) = self.admit(&request, queue_delay) else {
--- a/crates/gradedyke-turns/src/snapshot.rs
+++ b/crates/gradedyke-turns/src/snapshot.rs
@@ -32,8 +32,9 @@
 const USAGE_FILE: &str = "usage";
 /// Name in the data folder of the snapshot of requests under which backend servers ended.
 const CRASHES_FILE: &str = "crashes";
-/// Pause between two writes of that snapshot. Callers are back 100 ms after an end.
-const CRASHES_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause between two writes of that snapshot. Entries wait for them, and reports that arrive
+/// meanwhile are written together.
+const CRASHES_WRITE_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause between two writes of the usage snapshot. If all processes are lost, requests admitted
 /// since the last write are not counted. With windows of 5 s an account at its limit uses a
 /// twentieth of its allowance in this time; it may exceed it by a tenth.
@@ -154,11 +155,12 @@
 
 impl Target {
     /// Writes what `export` returns whenever `changed` tells of a change, until `stop` is
-    /// cancelled.
+    /// cancelled. Calls `written` with the number of the last change that was written.
     async fn write_on_change<T: Serialize + Send + 'static>(
         self,
         mut changed: watch::Receiver<u64>,
         export: impl Fn() -> T,
+        written: impl Fn(u64),
         stop: CancellationToken,
     ) {
         loop {
@@ -170,11 +172,13 @@
                 }
                 () = stop.cancelled() => return,
             }
+            let change = *changed.borrow_and_update();
             let (value, folder, name) = (export(), self.folder.clone(), self.name);
             let result = tokio::task::spawn_blocking(move || write(&folder, name, &value)).await;
-            if let Ok(Err(error)) = result {
-                tracing::warn!(event = self.failure, %error,
-                    remedy = "check the disk; the copy is needed only if all processes are lost");
+            match result {
+                Ok(Err(error)) => tracing::warn!(event = self.failure, %error,
+                    remedy = "check the disk; the copy is needed only if all processes are lost"),
+                _ => written(change),
             }
             tokio::select! {
                 () = tokio::time::sleep(self.interval) => {}
@@ -193,9 +197,8 @@
         failure: "mirror_not_written",
     };
     let changed = mirror.subscribe();
-    target
-        .write_on_change(changed, || mirror.items(), stop)
-        .await;
+    let export = || mirror.items();
+    target.write_on_change(changed, export, |_| {}, stop).await;
 }
 
 /// Loads the requests under which backend servers ended from `folder` into `crashes`. Does nothing
@@ -226,5 +229,6 @@
         crashes.changed_since(0, usize::MAX, now).0
     };
     let changed = crashes.subscribe();
-    target.write_on_change(changed, export, stop).await;
+    let written = |change| crashes.set_saved(change);
+    target.write_on_change(changed, export, written, stop).await;
 }
