--- a/crates/gradedyke-load/src/crashes.rs
+++ b/crates/gradedyke-load/src/crashes.rs
@@ -15,8 +15,8 @@
 use gradedyke_gateway::settings::Settings;
 use gradedyke_http::body;
 use gradedyke_http::client::{Client, Config};
-use gradedyke_site::Adapter;
 use gradedyke_site::store::KeyValueClient;
+use gradedyke_site::{Adapter, header};
 use gradedyke_site_standin::backend::{Actions, Backend, FATAL_TEXT};
 use gradedyke_site_standin::store::Store;
 use gradedyke_turns::crash::{Fingerprint, Registry, Scope};
@@ -187,9 +187,9 @@
             .method("POST")
             .uri(format!("http://{entry}{}", self.path))
             .header("host", HOST)
-            .header("x-gradedyke-request-id", id)
-            .header("x-gradedyke-deadline-ms", TIMEOUT_MS)
-            .header("x-gradedyke-program-id", program)
+            .header(header::REQUEST_ID, id)
+            .header(header::TIMEOUT_MS, TIMEOUT_MS)
+            .header(header::PROGRAM_ID, program)
             .body(body::full(text.to_owned()))?;
         let response = self.client.send(entry, request).await?;
         let status = response.status();
