--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-target/review-2/harness outage review/5 "$work"
+target/review-2/harness slow-turn review/5 "$work"
