--- a/review/harness-2/system.rs
+++ b/review/harness-2/system.rs
@@ -1,7 +1,7 @@
 //! The system's own processes, started with the commands of the deploy file.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -132,11 +132,12 @@
     }
 }
 
-/// Free ports on the loopback address.
+/// Free ports on a loopback address of this run, so that runs side by side and outgoing
+/// connections, which come from 127.0.0.1, take none of them.
 fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: io::Result<Vec<_>> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect();
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, 1 + (high & 0x7f), low, 1);
+    let listeners: io::Result<Vec<_>> = (0..count).map(|_| TcpListener::bind((own, 0))).collect();
     listeners?.iter().map(TcpListener::local_addr).collect()
 }
 
