Refuse what depends on keepers that were given up

Callers got 404 "there is no such turn" for a turn that had been answered whole 23 s before: two of three keepers had lost power while the third was restarted, and after 20 s the third and a spare went on without them. Token budgets that only the two knew were free again.

Cause: the view without them was like any other one, of which a quorum has each record. So the members without a turn proved that there is none.

The view now lists members that were given up, and how many of them are needed for every record to be known. Meanwhile entries answer 503 with a delay to what may depend on them; programs that begin are served, and a record says since which view all their attempts are known. A keeper whose disk is listed joins whether there is a vacancy or not, and counts once the others have its records; a lost disk, or the longest retention time, ends the wait. A keeper that is retired is reported as emptied only then.

--- a/crates/gradedyke-gateway/src/config.rs
+++ b/crates/gradedyke-gateway/src/config.rs
@@ -186,6 +186,15 @@
         urgency(priority, self.rank_count, is_late)
     }
 
+    /// Returns the longest time for which a route has turns stored; `None` if none does.
+    pub fn longest_retention(&self) -> Option<Duration> {
+        self.routes
+            .values()
+            .flatten()
+            .filter_map(|r| r.retention)
+            .max()
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -40,6 +40,9 @@
     ServiceFull(Duration),
     /// The turn that the request continues does not exist.
     TurnNotFound,
+    /// Keepers that are down may have the only records of the turn that the request continues, or of
+    /// its program. The request has not run.
+    RecordsAbsent,
     /// The conversation with the new input is larger than can be sent to a server. The request
     /// has not run.
     ConversationTooLarge,
@@ -84,6 +87,7 @@
             Refusal::Throttled => "overload",
             Refusal::ServiceFull(_) => "service_full",
             Refusal::TurnNotFound => "no_turn",
+            Refusal::RecordsAbsent => "records_absent",
             Refusal::ConversationTooLarge => "conversation_too_large",
             Refusal::BudgetExceeded => "spent",
             Refusal::EndsServers => "ends_servers",
@@ -114,6 +118,7 @@
             | Refusal::NoServer
             | Refusal::NoCapacity
             | Refusal::NoKeepers
+            | Refusal::RecordsAbsent
             | Refusal::Throttled
             | Refusal::ServiceFull(_)
             | Refusal::EndsServers
@@ -154,6 +159,8 @@
             | Refusal::Throttled
             | Refusal::AllowanceExceeded => expected_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             Refusal::StaleData => expected_wait.max(MIN_RETRY_AFTER),
+            // Instances take seconds to come back.
+            Refusal::RecordsAbsent => MAX_RETRY_AFTER,
             Refusal::NoServer | Refusal::NoMemory => MIN_RETRY_AFTER,
             _ => return None,
         };
@@ -186,6 +193,9 @@
                 "no program can begin now because the backend servers are full; come back then"
             }
             Refusal::TurnNotFound => "there is no such turn; start a new conversation",
+            Refusal::RecordsAbsent => {
+                "what it continues may be on a keeper that is down; come back soon"
+            }
             Refusal::ConversationTooLarge => {
                 "the conversation is too large to be continued; start a new one"
             }
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -135,6 +135,7 @@
             }
             Err(match error {
                 quorum::Error::TurnNotFound => Refusal::TurnNotFound,
+                quorum::Error::RecordsAbsent => Refusal::RecordsAbsent,
                 quorum::Error::BudgetExceeded { .. } => Refusal::BudgetExceeded,
                 quorum::Error::ConversationTooLarge { .. } => Refusal::ConversationTooLarge,
                 quorum::Error::TurnTooLarge(_) => Refusal::TooLarge,
--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -76,6 +76,8 @@
     first_position: Position,
     /// Number of unexpired records, by segment.
     live_record_counts: BTreeMap<Segment, usize>,
+    /// The longest retention time of any record since the start.
+    longest_retention: Duration,
 }
 
 impl Index {
@@ -92,6 +94,7 @@
             applied_records: VecDeque::new(),
             first_position: 0,
             live_record_counts: BTreeMap::new(),
+            longest_retention: Duration::ZERO,
         }
     }
 
@@ -155,7 +158,9 @@
         if self.requests[key].has_record(kind) {
             return false;
         }
-        let expires_at = now + record.retention() + RETENTION_MARGIN;
+        let retention = record.retention() + RETENTION_MARGIN;
+        self.longest_retention = self.longest_retention.max(retention);
+        let expires_at = now + retention;
         match record {
             Record::Reserved(reserved) => {
                 self.add_attempt(&reserved.program, key, expires_at);
@@ -380,6 +385,12 @@
         (keys.collect(), next)
     }
 
+    /// Returns the longest time for which any record since the start is retained, unless it is
+    /// continued.
+    pub fn longest_retention(&self) -> Duration {
+        self.longest_retention
+    }
+
     /// Stops tracking a segment that was removed from disk.
     pub fn forget_segment(&mut self, segment: Segment) {
         self.live_record_counts.remove(&segment);
--- a/crates/gradedyke-turns/src/membership/decide.rs
+++ b/crates/gradedyke-turns/src/membership/decide.rs
@@ -8,7 +8,7 @@
 
 use super::distribution::Distribution;
 use crate::sync::Progress;
-use crate::view::{DiskId, Member, View};
+use crate::view::{Absence, DiskId, Member, View};
 
 /// How long a member must be unreachable before a spare may replace it. Gives a
 /// process time to restart.
@@ -16,10 +16,11 @@
 /// How long a member must be unreachable before it is removed without a
 /// replacement, where there are more active members than needed.
 const SURPLUS_REMOVAL_TIMEOUT: Duration = Duration::from_secs(8);
-/// How long members must be unreachable before the others continue without them even though that
-/// may lose records. This happens if more disks are lost than tolerated, or if one is lost before
-/// the replacement of another has caught up. Gives an instance time to come back with its disk.
-/// Longer than the longest known outage of a single instance (12 s).
+/// How long members must be unreachable before the others continue without them even though
+/// records may be only on their disks ([`View::absences`]). This happens if more members are
+/// unreachable than tolerated, or if one is before the replacement of another has caught up. Gives
+/// an instance time to come back with its disk. Longer than the longest known outage of a single
+/// instance (12 s).
 const GIVE_UP_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a member that is to be retired waits for a spare to join, catch up and
 /// become active in its place.
@@ -88,6 +89,11 @@
     pub retiring: &'a HashSet<String>,
     /// Whether all other active members have all of its records, except the most recent.
     pub others_caught_up: bool,
+    /// Whether all active members that are reachable have the records that this replica had when
+    /// it learned of the view. Known only while its own disk is absent from an earlier view.
+    pub is_copied: bool,
+    /// Absences up to this version have lasted longer than any record is retained.
+    pub outlasted: Option<u64>,
     /// Whether all active members have each other's records of earlier views.
     pub is_level: bool,
     /// Since when the view, the unreachable members and the instances to be retired
@@ -146,13 +152,20 @@
 pub fn decide(config: &Config, observation: &Observation<'_>, now: Instant) -> Option<View> {
     let view = observation.view;
     match (view.find(observation.disk), observation.retiring_since) {
-        (None, Some(_)) => None,
+        // Its records must be copied before its disk is removed.
+        (None, Some(_)) => view
+            .is_absent(observation.disk)
+            .then(|| propose_join(config, observation)),
         (None, None) => {
             let replaces_own_disk = view.members.iter().any(|m| m.name == config.name);
             let joins = replaces_own_disk
+                || view.is_absent(observation.disk)
                 || should_fill_vacancy(config, observation, now)
                 || should_rebalance(config, observation, now);
-            joins.then(|| propose_join(config, observation))
+            if joins {
+                return Some(propose_join(config, observation));
+            }
+            propose_lost_disk(config, observation)
         }
         (Some(_), Some(since)) => propose_leave(observation, since, now),
         (Some(me), None) if me.address != config.address => {
@@ -160,6 +173,7 @@
         }
         (Some(me), None) if me.active => propose_removal_of_unreachable(observation, now)
             .or_else(|| propose_leave_if_surplus(config, observation, now))
+            .or_else(|| propose_outlasted(observation))
             .or_else(|| propose_copies(observation)),
         (Some(_), None) => propose_activation(observation, now),
     }
@@ -210,12 +224,43 @@
         active: config.first_start && no_records_yet,
     });
     let mut next = view.with_members(members);
+    next.mark_lost(&config.name, observation.disk);
     if config.first_start && no_records_yet {
         next.copies = next.active().count();
     }
     next
 }
 
+/// Proposes to note that the disk with which this instance was left out is lost, so that nobody
+/// waits for its records.
+fn propose_lost_disk(config: &Config, observation: &Observation<'_>) -> Option<View> {
+    let view = observation.view;
+    if !view.has_lost_disk(&config.name, observation.disk) {
+        return None;
+    }
+    let mut next = view.with_members(view.members.clone());
+    next.mark_lost(&config.name, observation.disk);
+    Some(next)
+}
+
+/// Proposes to wait no longer for disks that have been absent for longer than any record is
+/// retained.
+fn propose_outlasted(observation: &Observation<'_>) -> Option<View> {
+    let view = observation.view;
+    let outlasted = observation.outlasted?;
+    if view.absences.iter().all(|a| a.version > outlasted) {
+        return None;
+    }
+    let mut next = view.with_members(view.members.clone());
+    next.absences.retain(|a| a.version > outlasted);
+    tracing::warn!(
+        event = "absences_ended",
+        view = view.version,
+        remedy = "records of disks that did not come back have expired"
+    );
+    Some(next)
+}
+
 /// Proposes the present address of this replica.
 fn propose_address(config: &Config, observation: &Observation<'_>) -> View {
     let mut members = observation.view.members.clone();
@@ -236,7 +281,9 @@
     if !observation.others_caught_up || others <= view.tolerate || !waited_for_spare {
         return None;
     }
-    Some(without_member(view, observation.disk))
+    let mut next = without_member(view, observation.disk);
+    next.mark_copied(observation.disk);
+    Some(next)
 }
 
 /// Proposes to make this replica active and to remove members that are unreachable.
@@ -265,12 +312,30 @@
     if !has_all_records && !should_give_up_unreachable(observation, synced, now) {
         return None;
     }
-    let mut members = view.members.clone();
-    members.retain(|m| !unreachable.contains(&m.disk));
+    // A quorum need not include this replica, so its records must be on the others as well.
+    let is_absent = view.is_absent(observation.disk);
+    if is_absent && !observation.is_copied {
+        return None;
+    }
+    let (removed, mut members): (Vec<Member>, Vec<Member>) = view
+        .members
+        .iter()
+        .cloned()
+        .partition(|m| unreachable.contains(&m.disk));
     for member in &mut members {
         member.active |= member.disk == observation.disk;
     }
     let mut next = view.with_members(members);
+    if is_absent {
+        next.mark_copied(observation.disk);
+    }
+    if !has_all_records {
+        next.absences.push(Absence {
+            version: next.version,
+            members: removed,
+            required: view.sync_quorum() - synced,
+        });
+    }
     // This replica has each record of earlier versions, and a quorum has those of this one.
     let earlier = view.known_copies().saturating_sub(unreachable.len()) + 1;
     let present = view.quorum_size().saturating_sub(unreachable.len());
@@ -313,7 +378,8 @@
             event = "replicas_given_up",
             view = observation.view.version,
             level = synced,
-            remedy = "more disks were lost than is tolerated; turns may be missing"
+            remedy = "start the instances that are down, with their disks; turns that only they \
+                have are refused until then"
         );
     }
     timed_out && synced > 0
--- a/crates/gradedyke-turns/src/membership/mod.rs
+++ b/crates/gradedyke-turns/src/membership/mod.rs
@@ -8,6 +8,13 @@
 //! join when there is a vacancy; those in the data centre with the fewest
 //! members have priority.
 //!
+//! Where that can't be known, because more members are unreachable than tolerated, the others
+//! continue after a time, and the view lists those whose records may be missing
+//! ([`View::absences`]). Meanwhile entries refuse what depends on such records. A replica whose
+//! disk is listed joins as soon as it is back, whether there is a vacancy or not, and is active
+//! only when the others have its records. An instance that is back with another disk takes the lost
+//! one off the list, and all are taken off after the longest retention time.
+//!
 //! Removing a member is safe because the members of any quorum together have every
 //! record, even after a tolerated disk loss. A replica becomes active only after it
 //! has synced from a whole quorum whose members already refuse requests of earlier
@@ -42,13 +49,16 @@
 /// How often the membership is checked if the mirror doesn't change.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Operators' requests to retire an instance, in the platform's format.
+/// What operators state in the platform's format: requests to retire an instance, and how long
+/// records are retained.
 pub trait Retirement: Send + Sync {
     /// Returns the names of the instances that are to be retired.
     fn retiring_instances(&self, mirror: &Mirror) -> HashSet<String>;
     /// Returns the key and value that report whether the retirement of the instance `name`
     /// is `done`.
     fn retire_status(&self, name: &str, done: bool) -> (String, Vec<u8>);
+    /// Returns the longest retention time of the present configuration, if there is one.
+    fn longest_retention(&self, mirror: &Mirror) -> Option<Duration>;
 }
 
 /// Keeps the view up to date on behalf of one replica.
@@ -70,6 +80,11 @@
     /// The version of the view in which this replica had all records of the other active members,
     /// and its end position then.
     synced_position: Option<(u64, Position)>,
+    /// The end position of the index when this replica first was a member again after others
+    /// continued without its disk.
+    returned_position: Option<Position>,
+    /// When each absence in the view was first seen, by its version.
+    absent_since: HashMap<u64, Instant>,
 }
 
 /// State that must be unchanged for a time before a vacancy is filled from other data centres or a
@@ -110,6 +125,8 @@
             recent_end_positions: VecDeque::new(),
             stability_state: (StabilityState::default(), Instant::now()),
             synced_position: None,
+            returned_position: None,
+            absent_since: HashMap::new(),
         }
     }
 
@@ -151,6 +168,8 @@
             (must_leave || has_surplus) && self.have_others_caught_up(&view, now);
         let unchanged_since = self.unchanged_since(&view, &progress, &retiring, now);
         let is_level = self.is_level(&view, &progress);
+        let is_copied = self.is_copied(&view, &progress);
+        let outlasted = self.outlasted(&view, &mirror, now);
         let observation = Observation {
             view: &view,
             disk: self.replica.disk(),
@@ -158,6 +177,8 @@
             retiring_since: self.retiring_since,
             retiring: &retiring,
             others_caught_up,
+            is_copied,
+            outlasted,
             is_level,
             unchanged_since,
         };
@@ -166,7 +187,8 @@
             self.propose(next, revision).await;
         }
         if must_leave {
-            let done = view.find(self.replica.disk()).is_none();
+            let disk = self.replica.disk();
+            let done = view.find(disk).is_none() && !view.is_absent(disk);
             self.report_status(done).await;
         }
     }
@@ -214,6 +236,11 @@
             self.recent_end_positions.pop_front();
         }
         let (since, end) = self.recent_end_positions[0];
+        // Until then the index lacks records that are on disk.
+        if !self.replica.is_recovered() {
+            self.recent_end_positions.clear();
+            return false;
+        }
         if now - since < MAX_LAG {
             return false;
         }
@@ -222,6 +249,49 @@
         others.all(|m| self.replica.has_synced(m.disk, end))
     }
 
+    /// Whether this replica's disk is absent from an earlier view, and all active members that are
+    /// reachable have the records with which it returned.
+    fn is_copied(&mut self, view: &View, progress: &HashMap<DiskId, Progress>) -> bool {
+        let own = self.replica.disk();
+        if !view.is_absent(own) || view.find(own).is_none() || !self.replica.is_recovered() {
+            self.returned_position = None;
+            return false;
+        }
+        // Requests of earlier views are refused from now on, so that no other records follow.
+        let end = self.replica.index().end_position();
+        let position = *self.returned_position.get_or_insert(end);
+        let is_reachable = |m: &&Member| {
+            let progress = progress.get(&m.disk);
+            progress.is_some_and(|p| p.unreachable_since.is_none())
+        };
+        let mut others = view.active().filter(|m| m.disk != own).filter(is_reachable);
+        others.all(|m| self.replica.has_synced(m.disk, position))
+    }
+
+    /// Returns the version up to which absences have lasted longer than any record is retained.
+    fn outlasted(&mut self, view: &View, mirror: &Mirror, now: Instant) -> Option<u64> {
+        let absences = view.absences.iter().map(|a| a.version);
+        let versions: HashSet<u64> = absences.collect();
+        self.absent_since.retain(|v, _| versions.contains(v));
+        if versions.is_empty() {
+            return None;
+        }
+        let retention = self.replica.index().longest_retention();
+        let mut lasted = HashMap::new();
+        for version in versions {
+            let since = *self.absent_since.entry(version).or_insert(now);
+            lasted.insert(version, now - since);
+        }
+        // The configuration is decoded only if it may matter.
+        lasted.retain(|_, lasted| *lasted >= retention);
+        if lasted.is_empty() {
+            return None;
+        }
+        let configured = self.retirement.longest_retention(mirror);
+        lasted.retain(|_, lasted| *lasted >= configured.unwrap_or_default());
+        lasted.into_keys().max()
+    }
+
     /// Whether all active members have each other's records of earlier views: this replica has
     /// those of the others, and they have what it had then.
     fn is_level(&mut self, view: &View, progress: &HashMap<DiskId, Progress>) -> bool {
@@ -298,6 +368,7 @@
                     version = view.version,
                     revision,
                     copies = view.copies,
+                    absent = view.absences.iter().map(|a| a.members.len()).sum::<usize>(),
                     members
                 );
                 let item = mirror::Item {
--- a/crates/gradedyke-turns/src/quorum.rs
+++ b/crates/gradedyke-turns/src/quorum.rs
@@ -57,6 +57,12 @@
     /// The parent turn may exist, but replicas that may have it did not answer.
     #[error("cannot determine whether the parent turn exists; retry soon")]
     Indeterminate,
+    /// Members were left out of the view whose disks may have the only records of the parent turn
+    /// or of the program's attempts.
+    #[error(
+        "records may be only on the disks of replicas that are down; start these, or retry later"
+    )]
+    RecordsAbsent,
     /// The conversation is larger than [`MAX_CONVERSATION_BYTES`] allows.
     #[error("the conversation has {bytes} bytes, {limit} are allowed; start a new conversation")]
     ConversationTooLarge {
--- a/crates/gradedyke-turns/src/quorum/begin.rs
+++ b/crates/gradedyke-turns/src/quorum/begin.rs
@@ -9,7 +9,7 @@
 use super::gathered::CollectedReplies;
 use super::{BeginParams, BeginResponse, Coordinator, Error};
 use crate::message::{self, Begin, Reply, Request};
-use crate::record::Settled;
+use crate::record::{Record, Reserved, Settled};
 use crate::view::{Member, View};
 
 /// How long to wait for the nearest replica's copy of the conversation after a majority has
@@ -173,6 +173,28 @@
         )
     }
 
+    /// Checks that the used budget is known, although records may be missing. A program that
+    /// continues no turn and of which no attempt is known begins now, which is recorded for its
+    /// later attempts.
+    async fn check_attempts(
+        &self,
+        collected: &CollectedReplies,
+        reserved: &Reserved,
+        params: &BeginParams,
+    ) -> Result<(), Error> {
+        let Some(version) = collected.incomplete_since else {
+            return Ok(());
+        };
+        if collected.has_all_attempts() {
+            return Ok(());
+        }
+        if params.parent.is_some() || !collected.is_first_attempt(reserved) {
+            return Err(Error::RecordsAbsent);
+        }
+        let first = Record::Settled(Settled::first_attempt(reserved, version));
+        self.store(&first, None, params.deadline).await.map(|_| ())
+    }
+
     /// Returns the result of one try from its replies.
     async fn build_response(
         &self,
@@ -195,6 +217,7 @@
         }
         if let Some((reserved, budget)) = &params.reservation {
             collected.check_budget(reserved, *budget)?;
+            self.check_attempts(&collected, reserved, params).await?;
         }
         let program_attempts = collected.program_attempts();
         let unclaimed_load = self.unclaimed_load.take();
@@ -215,6 +238,7 @@
                 let (holders, bytes) = (collected.parent_holders, collected.conversation_bytes);
                 self.read_conversation(&holders, bytes, params).await
             }
+            None if collected.incomplete_since.is_some() => Err(Error::RecordsAbsent),
             None if members_without_parent == member_count && member_count >= needed => {
                 Err(Error::TurnNotFound)
             }
--- a/crates/gradedyke-turns/src/quorum/gathered.rs
+++ b/crates/gradedyke-turns/src/quorum/gathered.rs
@@ -8,7 +8,7 @@
 use crate::load::ServerLoad;
 use crate::message::{Found, Reply};
 use crate::pressure::Pressure;
-use crate::record::{Id, Reserved};
+use crate::record::{Id, Reserved, Settled};
 use crate::usage::Total;
 use crate::view::{Member, View};
 
@@ -18,6 +18,8 @@
     pub(super) required_acks: usize,
     /// Number of members that must have the record on disk.
     required_copies: usize,
+    /// The version since which records may be missing; `None` if none is.
+    pub(super) incomplete_since: Option<u64>,
     /// Number of members that the request was sent to.
     member_count: usize,
     /// Number of members that replied or failed.
@@ -56,6 +58,7 @@
         Self {
             required_acks: view.quorum_size(),
             required_copies: view.required_copies(),
+            incomplete_since: view.incomplete_since(),
             all_acks: 0,
             member_count: view.members.len(),
             finished_members: 0,
@@ -181,6 +184,24 @@
         attempts.filter(|a| a.tokens > 0 || !a.settled).count()
     }
 
+    /// Whether all attempts of the program are known. If records may be missing, they are those of
+    /// a program whose first attempt began since.
+    pub(super) fn has_all_attempts(&self) -> bool {
+        let Some(since) = self.incomplete_since else {
+            return true;
+        };
+        let requests = self.attempts.keys();
+        let mut first_attempts = requests.filter_map(Settled::first_attempt_version);
+        first_attempts.any(|version| version >= since)
+    }
+
+    /// Whether no attempt of the program but this one is known, apart from those that used no
+    /// tokens.
+    pub(super) fn is_first_attempt(&self, reserved: &Reserved) -> bool {
+        let mut others = self.attempts.values();
+        others.all(|a| a.request == reserved.request || a.settled && a.tokens == 0)
+    }
+
     /// Checks that the budget has room for the reservation in addition to all other attempts.
     pub(super) fn check_budget(&self, reserved: &Reserved, budget: u64) -> Result<(), Error> {
         let others = self.attempts.values();
--- a/crates/gradedyke-turns/src/record.rs
+++ b/crates/gradedyke-turns/src/record.rs
@@ -154,6 +154,42 @@
     }
 }
 
+/// Separates the parts of the request's ID in a record of [`Settled::first_attempt`]. Parsed
+/// identifiers contain no spaces.
+const FIRST_ATTEMPT_SEPARATOR: &str = " first attempt in ";
+
+impl Settled {
+    /// Creates the record that states that no attempt of a program had been known before the
+    /// attempt `reserved` began in the view `version`, so that all attempts of the program are
+    /// known to replicas that continued without others before that version. It uses no tokens.
+    ///
+    /// ```
+    /// use gradedyke_turns::record::{Id, Reserved, Settled};
+    ///
+    /// let id = |text| Id::parse(text).unwrap();
+    /// let (program, request) = (id("p"), id("r"));
+    /// let reserved = Reserved { program, request, tokens: 10, keep_ms: 60_000 };
+    /// let first = Settled::first_attempt(&reserved, 7);
+    /// assert_eq!(first.tokens, 0);
+    /// assert_eq!(Settled::first_attempt_version(&first.request), Some(7));
+    /// assert_eq!(Settled::first_attempt_version(&reserved.request), None);
+    /// ```
+    pub fn first_attempt(reserved: &Reserved, version: u64) -> Self {
+        let request = format!("{}{FIRST_ATTEMPT_SEPARATOR}{version}", reserved.program);
+        Self {
+            request: Id(request.into()),
+            ..Self::release(reserved)
+        }
+    }
+
+    /// Returns the view of a record of [`Self::first_attempt`], given the ID of its request;
+    /// `None` for other records.
+    pub fn first_attempt_version(request: &Id) -> Option<u64> {
+        let (_, version) = request.0.rsplit_once(FIRST_ATTEMPT_SEPARATOR)?;
+        version.parse().ok()
+    }
+}
+
 impl Record {
     /// Returns the record's key.
     pub fn key(&self) -> Key {
--- a/crates/gradedyke-turns/src/view.rs
+++ b/crates/gradedyke-turns/src/view.rs
@@ -35,6 +35,18 @@
     pub active: bool,
 }
 
+/// Members that the others continued without although a record may be only on their disks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Absence {
+    /// The version of the first view without them.
+    pub version: u64,
+    /// Those whose records the other replicas don't have yet.
+    pub members: Vec<Member>,
+    /// From how many of them the others must copy all records, whichever they are, before no
+    /// record is missing.
+    pub required: usize,
+}
+
 /// A version of the set of replicas.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
@@ -48,6 +60,10 @@
     /// unknown.
     #[serde(default)]
     pub copies: usize,
+    /// Former members that may have the only copies of a record, oldest first. Meanwhile the
+    /// members can't tell that a turn doesn't exist, nor what a program of earlier versions used.
+    #[serde(default)]
+    pub absences: Vec<Absence>,
 }
 
 impl View {
@@ -93,7 +109,13 @@
     ///     active: true,
     /// };
     /// let members = vec![member(1), member(2)];
-    /// let view = |copies| View { version: 1, tolerate: 1, members: members.clone(), copies };
+    /// let view = |copies| View {
+    ///     version: 1,
+    ///     tolerate: 1,
+    ///     members: members.clone(),
+    ///     copies,
+    ///     absences: Vec::new(),
+    /// };
     /// // A record may be on either member only.
     /// assert_eq!(view(1).sync_quorum(), 2);
     /// // Each record is on both.
@@ -144,6 +166,45 @@
             tolerate: self.tolerate,
             copies: self.known_copies().saturating_sub(left_out),
             members,
+            absences: self.absences.clone(),
+        }
+    }
+
+    /// Returns the version since which records may be missing; `None` if none is.
+    pub fn incomplete_since(&self) -> Option<u64> {
+        self.absences.iter().map(|a| a.version).max()
+    }
+
+    /// Whether the disk may have records that no member has.
+    pub fn is_absent(&self, disk: DiskId) -> bool {
+        let mut absent = self.absences.iter().flat_map(|a| &a.members);
+        absent.any(|m| m.disk == disk)
+    }
+
+    /// Whether the instance `name` was left out with another disk than `disk`. It has lost that
+    /// one.
+    pub fn has_lost_disk(&self, name: &str, disk: DiskId) -> bool {
+        let mut absent = self.absences.iter().flat_map(|a| &a.members);
+        absent.any(|m| m.name == name && m.disk != disk)
+    }
+
+    /// Notes that members have all records of `disk`.
+    pub fn mark_copied(&mut self, disk: DiskId) {
+        for absence in &mut self.absences {
+            let count = absence.members.len();
+            absence.members.retain(|m| m.disk != disk);
+            absence.required -= (count - absence.members.len()).min(absence.required);
+        }
+        self.absences.retain(|a| a.required > 0);
+    }
+
+    /// Notes that the instance `name` has only `disk`. A record that was on no other disk than
+    /// those lost doesn't exist any more.
+    pub fn mark_lost(&mut self, name: &str, disk: DiskId) {
+        for absence in &mut self.absences {
+            absence.members.retain(|m| m.name != name || m.disk == disk);
+            absence.required = absence.required.min(absence.members.len());
         }
+        self.absences.retain(|a| a.required > 0);
     }
 }
--- a/crates/gradedyke-turns/tests/membership/distribution.rs
+++ b/crates/gradedyke-turns/tests/membership/distribution.rs
@@ -47,6 +47,8 @@
             retiring_since: None,
             retiring: &self.retiring.iter().map(|n| (*n).to_owned()).collect(),
             others_caught_up: true,
+            is_copied: false,
+            outlasted: None,
             is_level: false,
             unchanged_since: now - Duration::from_millis(self.unchanged_ms),
         };
@@ -282,6 +284,7 @@
         tolerate: 1,
         members: one.to_vec(),
         copies: 0,
+        absences: Vec::new(),
     };
     let now = Instant::now() + Duration::from_secs(60);
     // Returns after how many milliseconds a replica joins.
@@ -300,6 +303,8 @@
                 retiring_since: None,
                 retiring: &HashSet::new(),
                 others_caught_up: false,
+                is_copied: false,
+                outlasted: None,
                 is_level: false,
                 unchanged_since: now - Duration::from_millis(*ms),
             };
--- a/crates/gradedyke-turns/tests/membership/main.rs
+++ b/crates/gradedyke-turns/tests/membership/main.rs
@@ -8,7 +8,7 @@
 
 use gradedyke_turns::membership::{Config, Observation, decide};
 use gradedyke_turns::sync::Progress;
-use gradedyke_turns::view::{DiskId, Member, View};
+use gradedyke_turns::view::{Absence, DiskId, Member, View};
 use tokio::time::Instant;
 
 const OWN_DISK: DiskId = 9;
@@ -41,6 +41,7 @@
         tolerate: 1,
         members: members.iter().map(|(n, d, a)| member(n, *d, *a)).collect(),
         copies: 0,
+        absences: Vec::new(),
     }
 }
 
@@ -92,19 +93,21 @@
             .map(|n| (*n).to_owned())
             .collect::<HashSet<_>>(),
         others_caught_up,
+        is_copied: false,
+        outlasted: None,
         is_level: false,
         unchanged_since: now,
     };
     let next = decide(&config(first_start), &observation, now)?;
     assert_eq!(next.version, view.version + 1);
+    Some(format_members(&next))
+}
+
+/// Returns the names of the members, with a question mark after inactive ones.
+fn format_members(view: &View) -> String {
     let format_member = |m: &Member| format!("{}{}", m.name, if m.active { "" } else { "?" });
-    Some(
-        next.members
-            .iter()
-            .map(format_member)
-            .collect::<Vec<_>>()
-            .join(" "),
-    )
+    let members: Vec<_> = view.members.iter().map(format_member).collect();
+    members.join(" ")
 }
 
 #[test]
@@ -380,6 +383,8 @@
         retiring_since: None,
         retiring: &HashSet::new(),
         others_caught_up: false,
+        is_copied: false,
+        outlasted: None,
         is_level,
         unchanged_since: now,
     };
@@ -462,6 +467,165 @@
     }
 }
 
+/// The version, the disks and the required number of each absence of a view.
+type Absences = Vec<(u64, Vec<DiskId>, usize)>;
+
+fn absences(view: &View) -> Absences {
+    let absences = view.absences.iter();
+    let disks = |a: &Absence| a.members.iter().map(|m| m.disk).collect();
+    absences
+        .map(|a| (a.version, disks(a), a.required))
+        .collect()
+}
+
+/// A replica that gave others up continued as if no record were missing.
+#[test]
+fn members_that_are_given_up_are_listed() {
+    use PeerState::{Synced, Unreachable};
+    let joining = [
+        ("a", 1, true),
+        ("b", 2, true),
+        ("c", 3, true),
+        ("me", OWN_DISK, false),
+    ];
+    // Milliseconds for which b and c are unreachable, and the absences of the next view.
+    type Case = (&'static str, [Option<u64>; 2], Option<Absences>);
+    let cases: &[Case] = &[
+        ("one, as tolerated", [Some(5_000), None], Some(vec![])),
+        ("two, for a short time", [Some(5_000), Some(5_000)], None),
+        (
+            "two, one of them for a short time",
+            [Some(25_000), Some(5_000)],
+            None,
+        ),
+        (
+            "two, for long",
+            [Some(25_000), Some(25_000)],
+            Some(vec![(6, vec![2, 3], 1)]),
+        ),
+    ];
+    for (name, [b, c], expected) in cases {
+        let state = |ms: &Option<u64>| ms.map_or(Synced(5), Unreachable);
+        let states = [(1, Synced(5)), (2, state(b)), (3, state(c))];
+        let next = propose_view(&view(&joining), &states, false);
+        assert_eq!(next.as_ref().map(absences), *expected, "{name}");
+    }
+}
+
+/// A replica whose disk was given up was a spare like any other when it came back, and its records
+/// were not copied if there was no vacancy, or if it was to be retired.
+#[test]
+fn replica_that_was_given_up_returns_with_its_records() {
+    let away = |disks: &[DiskId], required| Absence {
+        version: 4,
+        members: disks.iter().map(|d| member("me", *d, true)).collect(),
+        required,
+    };
+    type Members = &'static [(&'static str, DiskId, bool)];
+    let full: Members = &[("a", 1, true), ("b", 2, true), ("c", 3, true)];
+    let back: Members = &[
+        ("a", 1, true),
+        ("b", 2, true),
+        ("c", 3, true),
+        ("me", OWN_DISK, false),
+    ];
+    let active: Members = &[("a", 1, true), ("me", OWN_DISK, true)];
+    struct Case {
+        name: &'static str,
+        members: Members,
+        absence: Absence,
+        is_copied: bool,
+        retiring: bool,
+        outlasted: Option<u64>,
+        expected: Option<(&'static str, Absences)>,
+    }
+    let case = |name, members, absence, expected| Case {
+        name,
+        members,
+        absence,
+        is_copied: false,
+        retiring: false,
+        outlasted: None,
+        expected,
+    };
+    let own = || away(&[OWN_DISK], 1);
+    let listed = || vec![(4, vec![OWN_DISK], 1)];
+    let cases = [
+        case(
+            "joins without a vacancy",
+            full,
+            own(),
+            Some(("a b c me?", listed())),
+        ),
+        Case {
+            retiring: true,
+            ..case(
+                "joins to be retired",
+                full,
+                own(),
+                Some(("a b c me?", listed())),
+            )
+        },
+        case("the others lack its records", back, own(), None),
+        Case {
+            is_copied: true,
+            ..case(
+                "the others have its records",
+                back,
+                own(),
+                Some(("a b c me", vec![])),
+            )
+        },
+        Case {
+            is_copied: true,
+            ..case(
+                "another one is needed as well",
+                back,
+                away(&[OWN_DISK, 7], 2),
+                Some(("a b c me", vec![(4, vec![7], 1)])),
+            )
+        },
+        case(
+            "lost its disk",
+            full,
+            away(&[7], 1),
+            Some(("a b c", vec![])),
+        ),
+        Case {
+            outlasted: Some(3),
+            ..case("not outlasted yet", active, away(&[7], 1), None)
+        },
+        Case {
+            outlasted: Some(4),
+            ..case("outlasted", active, away(&[7], 1), Some(("a me", vec![])))
+        },
+    ];
+    let now = Instant::now() + Duration::from_secs(60);
+    let states = [1, 2, 3].map(|disk| (disk, PeerState::Synced(5)));
+    for case in cases {
+        let view = View {
+            absences: vec![case.absence],
+            ..view(case.members)
+        };
+        let observation = Observation {
+            view: &view,
+            disk: OWN_DISK,
+            progress: &progress(&states, now),
+            retiring_since: case.retiring.then_some(now),
+            retiring: &HashSet::new(),
+            others_caught_up: false,
+            is_copied: case.is_copied,
+            outlasted: case.outlasted,
+            is_level: false,
+            unchanged_since: now,
+        };
+        let next = decide(&config(false), &observation, now);
+        let next = next.map(|n| (format_members(&n), absences(&n)));
+        let expected = case.expected.map(|(m, a)| (m.to_owned(), a));
+        assert_eq!(next, expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn members_that_are_left_out_may_have_had_a_copy() {
     let full = view(&[
--- a/crates/gradedyke-turns/tests/quorum/main.rs
+++ b/crates/gradedyke-turns/tests/quorum/main.rs
@@ -1,9 +1,11 @@
 //! Attempts and records with real replicas over loopback, some of which fail.
 //!
+//! - `absent`: replicas that continued without others.
 //! - `large`: turns and conversations that are larger than a page or a message.
 //! - `replicas`: replicas that sync with each other, start up, or are overloaded.
 //! - `relay`: entries that reach replicas through other entries.
 
+mod absent;
 mod large;
 mod relay;
 mod replicas;
@@ -99,6 +101,7 @@
             tolerate: 1,
             members: self.replicas.iter().map(|n| n.member.clone()).collect(),
             copies: 0,
+            absences: Vec::new(),
         }
     }
 
--- a/crates/gradedyke-turns/tests/settle.rs
+++ b/crates/gradedyke-turns/tests/settle.rs
@@ -65,6 +65,7 @@
         tolerate: 1,
         members: Vec::new(),
         copies: 0,
+        absences: Vec::new(),
     };
     for number in 0..REPLICA_COUNT {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
