Answer for a member only with that member's disk

A keeper that lost its disk and started again at its address answered requests of the view that still listed its former disk, since only versions were compared. Its replies counted towards a quorum: with the second keeper behind and the third one without power, tokens that had been reserved were unknown, and a program could go beyond its budget.

A keeper now replies that it is starting unless the view that it knows has its disk.

--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -192,7 +192,7 @@
     Stale(View),
     /// The request failed, with the reason.
     Failed(String),
-    /// The replica is still reading its disk.
+    /// The replica is still reading its disk, or does not know a view with this disk.
     Starting,
     /// The replica is overloaded and did not process the request; with the share of attempts
     /// that it rejected recently.
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -203,16 +203,22 @@
         Ok(())
     }
 
-    /// Returns the reply that rejects a request of the view `version`, or `None` if that view is
-    /// not outdated.
-    fn reject_stale(&self, version: u64) -> Option<Reply> {
+    /// Returns the reply that rejects a request of the view `version`, or `None` if this replica is
+    /// a member of that view as far as it knows, and the view is not outdated.
+    fn reject_request(&self, version: u64) -> Option<Reply> {
         let view = self.view.borrow();
-        (version < view.version).then(|| Reply::Stale(view.clone()))
+        if version < view.version {
+            return Some(Reply::Stale(view.clone()));
+        }
+        // A replica that lost its disk answers at the address of the member that it was. Nobody
+        // sends requests of a view without members, which has the version 0.
+        let is_member = version == 0 || view.find(self.disk).is_some();
+        (!is_member).then_some(Reply::Starting)
     }
 
     /// Reserves tokens for an attempt and looks up the turn that it continues.
     async fn begin(&self, begin: Begin) -> Reply {
-        if let Some(rejection) = self.reject_stale(begin.view) {
+        if let Some(rejection) = self.reject_request(begin.view) {
             return rejection;
         }
         let usage = begin.usage.map(|u| self.apply_usage_report(u));
@@ -335,7 +341,7 @@
         record: &Record,
         usage_report: Option<usage::Report>,
     ) -> Reply {
-        if let Some(rejection) = self.reject_stale(view) {
+        if let Some(rejection) = self.reject_request(view) {
             return rejection;
         }
         let usage = usage_report.map(|u| self.apply_usage_report(u));
@@ -347,7 +353,7 @@
 
     /// Stores records concurrently, so that they share a disk sync.
     async fn store_all(&self, view: u64, records: &[Record]) -> Reply {
-        if let Some(rejection) = self.reject_stale(view) {
+        if let Some(rejection) = self.reject_request(view) {
             return rejection;
         }
         match try_join_all(records.iter().map(|r| self.store(r))).await {
--- a/crates/gradedyke-turns/tests/quorum/absent.rs
+++ b/crates/gradedyke-turns/tests/quorum/absent.rs
@@ -1,4 +1,5 @@
-//! Replicas that continued without others, which may have the only copies of records.
+//! Replicas that continued without others, which may have the only copies of records, and replicas that lost
+//! their disk.
 
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use gradedyke_turns::view::{self, Absence, Member, View};
 use tokio::time::Instant;
 
-use super::{Deployment, id, operation_deadline};
+use super::{Deployment, RunningReplica, id, operation_deadline};
 
 /// Publishes a view with these versions of absences.
 fn publish_absences(deployment: &Deployment, version: u64, absences: &[u64]) {
@@ -106,3 +107,30 @@
     publish_absences(&deployment, 4, &[]);
     begin(&deployment, "other", "r2", Some("t")).await.unwrap();
 }
+
+/// An empty replica at the address of the member that it was counted as that member, so that used
+/// tokens that another one still knew were forgotten.
+#[tokio::test]
+async fn replica_with_a_new_disk_does_not_answer_for_the_former_member() {
+    let mut deployment = Deployment::start(3).await;
+    // The third replica was down.
+    let down = deployment.replicas[2].member.clone();
+    deployment.replicas[2].member.address = "127.0.0.1:9".parse().unwrap();
+    deployment.publish(2);
+    begin(&deployment, "p", "a", None).await.unwrap();
+    begin(&deployment, "p", "b", None).await.unwrap();
+    deployment.replicas[2].member = down;
+    // The first replica lost its disk, and another one answers at its address.
+    let empty = tempfile::tempdir().unwrap();
+    let new_replica = RunningReplica::start(empty, "n0", &mut deployment.tasks).await;
+    deployment.replicas[0].stop.cancel();
+    deployment.replicas[0].member.address = new_replica.member.address;
+    deployment.publish(3);
+    deployment.stop(1);
+    new_replica.replica.update_view(&deployment.view(3));
+    let result = begin(&deployment, "p", "c", None).await;
+    assert!(
+        matches!(result, Err(Error::Starting | Error::NoQuorum { .. })),
+        "{result:?}"
+    );
+}
--- a/crates/gradedyke-turns/tests/quorum/main.rs
+++ b/crates/gradedyke-turns/tests/quorum/main.rs
@@ -1,6 +1,6 @@
 //! Attempts and records with real replicas over loopback, some of which fail.
 //!
-//! - `absent`: replicas that continued without others.
+//! - `absent`: replicas that continued without others, or that lost their disk.
 //! - `large`: turns and conversations that are larger than a page or a message.
 //! - `replicas`: replicas that sync with each other, start up, or are overloaded.
 //! - `relay`: entries that reach replicas through other entries.
