Retain a turn as long as each turn that continues it

A configuration raised retention_s from 15 to 60 s while a conversation was under way. The next turn was kept for 60 s, the turns before it for 15 s, and 27 s later its callers got 404.

Cause: storing a turn restarted the retention of its ancestors, each with its own time, and only of those that were in the index already. After a restart the newest records are applied first.

A turn now keeps its ancestors at least as long as itself, in whatever order they are applied; what is needed of a turn that is not in the index yet is noted until it comes.

--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -1,7 +1,8 @@
 //! In-memory index of the records that a replica stores.
 //!
-//! Records may be applied in any order and more than once. Applying a turn restarts the retention
-//! time of all its ancestors. Turn bodies are cached in memory up to a limit and are read from disk
+//! Records may be applied in any order and more than once. A turn is retained at least as long as
+//! each turn that continues it, and at least while one that continues it runs ([`Index::hold`]).
+//! Turn bodies are cached in memory up to a limit and are read from disk
 //! otherwise.
 //!
 //! Requests and programs are stored in slot maps and refer to each other by key, so
@@ -9,11 +10,13 @@
 //!
 //! - `request`: the items for requests, programs and turns.
 //! - `lookup`: rebuilds records from the index.
+//! - `retain`: extends the retention of what later turns need.
 //! - `expire`: removes expired items.
 
 mod expire;
 mod lookup;
 mod request;
+mod retain;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -74,6 +77,9 @@
     applied_records: VecDeque<(Kind, RequestKey)>,
     /// Position of the first element of `applied_records`.
     first_position: Position,
+    /// Turns that are continued but not in the index, and until when they are needed. Empty unless
+    /// records were applied out of order or missed.
+    missing_turns: HashMap<RequestKey, Instant>,
     /// Number of unexpired records, by segment.
     live_record_counts: BTreeMap<Segment, usize>,
     /// The longest retention time of any record since the start.
@@ -93,6 +99,7 @@
             turn_count: 0,
             applied_records: VecDeque::new(),
             first_position: 0,
+            missing_turns: HashMap::new(),
             live_record_counts: BTreeMap::new(),
             longest_retention: Duration::ZERO,
         }
@@ -171,7 +178,7 @@
                 self.requests[key].used_tokens = Some(settled.tokens);
             }
             Record::Turn(turn) => {
-                self.insert_turn(key, turn, expires_at, now);
+                self.insert_turn(key, turn, expires_at);
                 if cache_body {
                     self.cache_turn_body(key, turn);
                 }
@@ -183,7 +190,7 @@
         true
     }
 
-    fn insert_turn(&mut self, key: RequestKey, turn: &Turn, expires_at: Instant, now: Instant) {
+    fn insert_turn(&mut self, key: RequestKey, turn: &Turn, expires_at: Instant) {
         if let Some(program) = &turn.program {
             self.add_attempt(program, key, expires_at);
             self.requests[key].used_tokens = Some(turn.tokens);
@@ -192,7 +199,8 @@
         let program = program.map(|key| self.programs[key].id.clone());
         let server = self.intern_server(&turn.server);
         let parent = turn.parent.as_ref().map(|id| self.get_or_insert_key(id));
-        self.renew_retention(parent, now);
+        let needed_until = self.missing_turns.remove(&key);
+        let expires_at = needed_until.map_or(expires_at, |until| until.max(expires_at));
         self.turn_count += 1;
         self.requests[key].turn = Some(Box::new(IndexedTurn {
             parent,
@@ -202,6 +210,7 @@
             keep_ms: turn.keep_ms,
             expires_at,
         }));
+        self.retain_turns(parent, expires_at);
     }
 
     /// Caches the body of a turn in memory.
@@ -290,15 +299,6 @@
         }
     }
 
-    /// Restarts the retention time of a turn and its ancestors at `now`.
-    fn renew_retention(&mut self, mut next: Option<RequestKey>, now: Instant) {
-        while let Some(turn) = next.and_then(|key| self.requests[key].turn.as_mut()) {
-            let retention = Duration::from_millis(turn.keep_ms.into());
-            turn.expires_at = now + retention + RETENTION_MARGIN;
-            next = turn.parent;
-        }
-    }
-
     /// Returns the attempts of a program, or none if the program is unknown.
     pub fn attempts(&self, program: &Id) -> Vec<Attempt> {
         let Some(program) = self.program_keys.get(program) else {
@@ -317,6 +317,11 @@
         requests.map(attempt).collect()
     }
 
+    /// Returns whether the index contains a turn.
+    pub fn has_turn(&self, id: &Id) -> bool {
+        self.request(id).is_some_and(|r| r.turn.is_some())
+    }
+
     /// Returns whether the index contains a turn and all its ancestors.
     pub fn has_turn_and_ancestors(&self, id: &Id) -> bool {
         self.first_missing_ancestor(id).is_none()
--- a/crates/gradedyke-turns/src/index/expire.rs
+++ b/crates/gradedyke-turns/src/index/expire.rs
@@ -78,6 +78,7 @@
         let continued: HashSet<RequestKey> = self.turns().filter_map(|t| t.parent).collect();
         let used: HashSet<Id> = self.turns().map(|t| t.server.clone()).collect();
         self.servers.retain(|id| used.contains(id));
+        self.missing_turns.retain(|key, _| continued.contains(key));
         let request_keys = &mut self.request_keys;
         self.requests.retain(|key, request| {
             let retain =
--- a/crates/gradedyke-turns/tests/index.rs
+++ b/crates/gradedyke-turns/tests/index.rs
@@ -139,6 +139,31 @@
     assert_eq!(empty, [1, 2]);
 }
 
+/// After a restart, the newest records are applied first.
+#[test]
+fn a_turn_that_is_applied_after_its_descendants_is_retained_as_long() {
+    let mut index = Index::new(MAX_CACHED_BODY_BYTES);
+    let start = Instant::now();
+    let turn_for = |request: &str, parent: Option<&str>, keep_ms| match turn(request, parent, 1) {
+        Record::Turn(turn) => Record::Turn(Turn { keep_ms, ..turn }),
+        other => other,
+    };
+    index.apply(&turn_for("c", Some("b"), RETENTION_MS), 1, start);
+    let missing = |index: &Index| index.missing_turns(10).into_iter().map(|key| key.request);
+    assert_eq!(missing(&index).collect::<Vec<_>>(), [id("b")]);
+    index.apply(&turn_for("a", None, 1_000), 1, start);
+    index.apply(&turn_for("b", Some("a"), 1_000), 1, start);
+    assert_eq!(missing(&index).count(), 0);
+    index.expire(start + Duration::from_millis(RETENTION_MS.into()));
+    assert!(index.has_turn_and_ancestors(&id("c")));
+    index.expire(start + Duration::from_millis(u64::from(RETENTION_MS) + 6_000));
+    assert!(!index.has_turn(&id("a")));
+    // What is missing is asked for only as long as it is needed.
+    index.apply(&turn_for("e", Some("d"), 1_000), 1, start);
+    index.expire(start + Duration::from_secs(10));
+    assert_eq!(missing(&index).count(), 0);
+}
+
 #[test]
 fn a_record_written_again_counts_only_in_its_new_segment() {
     let mut index = Index::new(MAX_CACHED_BODY_BYTES);
