Hold what a turn needs while it runs

A turn was answered whole after 11 s on a slow server, and 0.3 s later its program got 404 "there is no such turn", for good.

Cause: only storing a turn extended the retention of the conversation that it continues and of its program's use of tokens. Both expired under a turn that took longer than the rest of that time and the margin of 5 s.

Beginning a turn now holds both for 15 s, without another call or another byte on disk. A turn that runs for longer is reported to all keepers every 4 s until it ends, at its deadline at the latest. A keeper whose process was stopped removes nothing for 15 s after it wakes up, and one that lacks a part of a conversation no longer says that there is no such turn.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -20,6 +20,7 @@
 pub mod crash;
 mod door;
 mod fingerprint;
+mod hold;
 pub mod plain;
 pub mod refusal;
 mod relay;
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -18,6 +18,7 @@
 use super::attempt::{self, ServerResponse};
 use super::budget::{Reservation, retention_ms};
 use super::call::Call;
+use super::hold::Hold;
 use super::upstream::StreamRequest;
 use crate::dialect::Head;
 use crate::event::Splitter;
@@ -45,6 +46,7 @@
     reservation: Reservation,
     upstream: StreamRequest,
     received: ServerResponse,
+    mut hold: Hold,
 ) -> Response<Body> {
     let headers = entry.dialect.response_headers(received.response.headers());
     let status = received.response.status();
@@ -74,7 +76,11 @@
         memory,
     };
     let incoming = received.response.into_body();
-    tokio::spawn(relay.run(status, incoming, received.connection, received.head));
+    let (connection, head) = (received.connection, received.head);
+    tokio::spawn(async move {
+        hold.during(relay.run(status, incoming, connection, head))
+            .await;
+    });
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/gradedyke-gateway/src/entry/turn.rs
+++ b/crates/gradedyke-gateway/src/entry/turn.rs
@@ -12,13 +12,14 @@
 use gradedyke_http::Body;
 use gradedyke_turns::conversation::Transcript;
 use gradedyke_turns::quorum::{self, BeginParams};
-use gradedyke_turns::record::Reserved;
+use gradedyke_turns::record::{Id, Reserved};
 use http::Response;
 use tokio::time::Instant;
 
 use super::Entry;
 use super::budget::{Reservation, retention_ms};
 use super::call::Call;
+use super::hold::Hold;
 use super::refusal::Refusal;
 use super::relay;
 use super::upstream::StreamRequest;
@@ -39,7 +40,9 @@
 /// The [`Refusal`] that is sent to the caller as an error response. Nothing has been sent to
 /// the caller before.
 pub async fn serve(entry: &Arc<Entry>, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
-    let (transcript, reservation, is_late) = begin_turn(entry, &call).await?;
+    let parent = parent_id(&call);
+    let (transcript, reservation, is_late) = begin_turn(entry, &call, parent.clone()).await?;
+    let mut hold = Hold::new(&entry.quorum, parent, reservation.program(), Instant::now());
     let memory = entry.memory.lease();
     let conversation_bytes = transcript.as_ref().map_or(0, |t| t.body.len());
     if memory.grow(conversation_bytes).is_err() {
@@ -48,7 +51,7 @@
     }
     memory.pin();
     let upstream = StreamRequest::new(transcript, &call.body, is_late, memory);
-    let response = match upstream.open(entry, &call, None).await {
+    let response = match hold.during(upstream.open(entry, &call, None)).await {
         Ok(response) => response,
         Err(refusal) => {
             // No tokens have reached the caller.
@@ -56,7 +59,20 @@
             return Err(refusal);
         }
     };
-    Ok(relay::start(entry, call, reservation, upstream, response))
+    Ok(relay::start(
+        entry,
+        call,
+        reservation,
+        upstream,
+        response,
+        hold,
+    ))
+}
+
+/// Returns the ID of the stored turn that the call continues.
+fn parent_id(call: &Call) -> Option<Id> {
+    let parent = call.route.retention.and(call.meta.parent.as_ref());
+    parent.map(|p| call.scoped_id(p))
 }
 
 /// Reserves tokens in the program's budget and reads the conversation so far, in one exchange
@@ -64,6 +80,7 @@
 async fn begin_turn(
     entry: &Arc<Entry>,
     call: &Call,
+    parent: Option<Id>,
 ) -> Result<(Option<Transcript>, Reservation, bool), Refusal> {
     let started = Instant::now();
     if entry.crashes.refuses_call(call, started) {
@@ -75,8 +92,6 @@
     entry.admit_request(call, started)?;
     let budget_request = budget_request(call);
     let reservation = Reservation::new(budget_request.as_ref().map(|(r, _)| r.clone()));
-    let parent = call.route.retention.and(call.meta.parent.as_ref());
-    let parent = parent.map(|p| call.scoped_id(p));
     let usage_report = call.charge.map(|c| entry.limiter.report(&c, started));
     let (usage, snapshot) = usage_report.unzip();
     let params = BeginParams {
--- a/crates/gradedyke-turns/src/message.rs
+++ b/crates/gradedyke-turns/src/message.rs
@@ -118,6 +118,13 @@
     },
     /// Reports and asks for requests under which backend servers ended.
     Crashes(crash::Exchange),
+    /// Reports that a turn still runs, so that what it needs is retained.
+    Hold {
+        /// The turn that it continues.
+        parent: Option<Id>,
+        /// Its program, if that has a budget.
+        program: Option<Id>,
+    },
 }
 
 /// Whether a replica has a turn, with the conversation if requested.
--- a/crates/gradedyke-turns/src/quorum/store.rs
+++ b/crates/gradedyke-turns/src/quorum/store.rs
@@ -9,7 +9,7 @@
 use super::gathered::CollectedReplies;
 use super::{Coordinator, Error};
 use crate::message::{self, Reply, Request};
-use crate::record::Record;
+use crate::record::{Id, Record};
 use crate::usage::{self, Total};
 use crate::view::View;
 
@@ -73,6 +73,17 @@
         result.unwrap_or(Err(Error::Indeterminate))
     }
 
+    /// Reports to all members that a turn still runs, so that they retain the turn `parent` and
+    /// the attempts of `program`. Doesn't wait for them; a member that misses it retains both until
+    /// some time after the last report, or gets them from the others.
+    pub fn hold(&self, parent: Option<&Id>, program: Option<&Id>) {
+        let request = message::encode(&Request::Hold {
+            parent: parent.cloned(),
+            program: program.cloned(),
+        });
+        self.send_to_all(&self.view(), |_| request.clone());
+    }
+
     /// Sends a request to all members and waits for a majority; `None` if a replica reported
     /// that `view` is stale.
     pub(super) async fn send_to_quorum(
--- a/crates/gradedyke-turns/src/replica.rs
+++ b/crates/gradedyke-turns/src/replica.rs
@@ -11,7 +11,7 @@
 
 use futures_util::future::try_join_all;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
 use crate::index::{self, Index, Lookup, Position};
@@ -21,7 +21,7 @@
 use crate::mirror::Mirror;
 use crate::pending::PendingSegments;
 use crate::pressure::Pressure;
-use crate::record::{Key, Record};
+use crate::record::{Id, Key, Record};
 use crate::usage::{self, Total};
 use crate::view::{DiskId, View};
 
@@ -36,6 +36,15 @@
 const PAGE_DELAY: Duration = Duration::from_millis(50);
 /// Interval between removals of expired records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
+/// How late a removal may be. A process that was stopped for longer, or whose clock jumped, may not
+/// have read requests that extend retention times.
+const MAX_EXPIRY_DELAY: Duration = Duration::from_secs(1);
+/// How long a turn that runs holds what it needs after each request that says so. Several times
+/// [`HOLD_INTERVAL`], and longer than callers wait before their next attempt.
+const HOLD_TIME: Duration = Duration::from_secs(15);
+/// Interval at which entries say that a turn still runs. Less than the shortest time for which a
+/// replica retains records after a restart.
+pub const HOLD_INTERVAL: Duration = Duration::from_secs(4);
 /// Name of the file in the data folder that holds the ID of the disk.
 const DISK_ID_FILE: &str = "disk-id";
 
@@ -143,6 +152,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether this replica has a turn and all turns that it continues.
+    pub fn has_conversation(&self, turn: &Id) -> bool {
+        self.index().has_turn_and_ancestors(turn)
+    }
+
     /// Whether all records on disk have been loaded.
     pub fn is_recovered(&self) -> bool {
         *self.recovered.borrow()
@@ -226,6 +240,7 @@
         if let Err(error) = self.load_for_request(program, begin.parent.as_ref()).await {
             return Reply::Failed(error.to_string());
         }
+        self.hold(begin.parent.as_ref(), program);
         let mut attempts = Vec::new();
         if let Some(reserved) = begin.reserve {
             let program = reserved.program.clone();
@@ -249,6 +264,12 @@
         }
     }
 
+    /// Retains what a running turn needs: the turn that it continues, and its program's attempts.
+    fn hold(&self, parent: Option<&Id>, program: Option<&Id>) {
+        let until = Instant::now() + HOLD_TIME;
+        self.index().hold(parent, program, until);
+    }
+
     pub(crate) fn load_reports(&self) -> MutexGuard<'_, Aggregator> {
         self.load_reports
             .lock()
@@ -399,10 +420,20 @@
             () = self.stop.cancelled() => return,
         }
         let mut interval = tokio::time::interval(EXPIRY_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut resumes_at = Instant::now();
         loop {
-            tokio::select! {
-                _ = interval.tick() => {}
+            let due = tokio::select! {
+                due = interval.tick() => due,
                 () = self.stop.cancelled() => return,
+            };
+            let now = Instant::now();
+            if now - due > MAX_EXPIRY_DELAY {
+                tracing::warn!(event = "expiry_paused", late_ms = (now - due).as_millis());
+                resumes_at = now + HOLD_TIME;
+            }
+            if now < resumes_at {
+                continue;
             }
             let empty_segments = self.index().expire(Instant::now());
             for segment in empty_segments {
@@ -434,6 +465,10 @@
             } => self.store_in_view(view, &record, usage).await,
             Request::KeepAll { view, records } => self.store_all(view, &records).await,
             Request::Usage(report) => Reply::Usage(self.apply_usage_report(report)),
+            Request::Hold { parent, program } => {
+                self.hold(parent.as_ref(), program.as_ref());
+                Reply::Kept { usage: None }
+            }
             Request::Chain(id) => self.chain_reply(&id).await,
             Request::ChainPage { turn, from } => self.chain_page_reply(&turn, from).await,
             Request::Keys { disk, boot, from } => self.wait_for_keys(disk, boot, from).await,
--- a/crates/gradedyke-turns/src/replica/conversation.rs
+++ b/crates/gradedyke-turns/src/replica/conversation.rs
@@ -20,10 +20,11 @@
 impl Replica {
     /// Looks up a turn, with its conversation if `with_conversation` and if that fits in a page.
     pub(super) async fn find_turn(&self, id: &Id, with_conversation: bool) -> Found {
-        if !self.index().has_turn_and_ancestors(id) {
+        if !self.index().has_turn(id) {
             return Found::Missing;
         }
-        if !with_conversation {
+        // Other replicas may have ancestors that are missing here.
+        if !with_conversation || !self.index().has_turn_and_ancestors(id) {
             return Found::Here;
         }
         let Some(conversation) = self.conversation(id) else {
