Fetch what a replica removed while others knew it was needed

A replica that was cut off, stopped, or missed a call removed records whose retention was extended elsewhere meanwhile. It went on following the others from where it had been, and lacked them for good: the next turn was on its disk without the conversation.

A follower now compares all keys after 4 s without contact, which is less than the margin of retention, and every 2 s fetches turns that are continued but missing, if there are any. Both tests are red with their half left out.

--- a/crates/gradedyke-turns/src/sync.rs
+++ b/crates/gradedyke-turns/src/sync.rs
@@ -37,6 +37,12 @@
 /// Delay before a call is repeated whose reply was too large to be sent. Repeating it does not
 /// help before the record has expired.
 const TOO_LARGE_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Time without contact after which all keys are compared again. Meanwhile this replica may have
+/// removed records whose retention was extended at the other one. Less than the margin by which
+/// records are retained for longer than asked for.
+const RESYNC_TIMEOUT: Duration = Duration::from_secs(4);
+/// Interval at which turns are fetched that are continued but missing here.
+const MISSING_TURNS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// How far a replica has synced from another.
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,15 +119,31 @@
     /// Fetches pages of keys, or only pings, until it is dropped.
     async fn follow(&self) {
         let (mut boot, mut from) = (0, 0);
+        // When the last page was received, and when missing turns were last fetched.
+        let (mut last_page, mut last_fetch) = (Instant::now(), Instant::now());
         loop {
             if !self.is_member() || !self.replica.is_recovered() {
                 self.ping().await;
                 continue;
             }
+            let silence = last_page.elapsed();
+            if silence > RESYNC_TIMEOUT && from > 0 {
+                tracing::info!(
+                    event = "replica_compared_again",
+                    disk = self.peer_disk,
+                    silent_ms = silence.as_millis()
+                );
+                from = 0;
+            }
             match self.sync_page(boot, from).await {
                 Ok(keys) => {
                     self.update_progress(&keys);
                     (boot, from) = (keys.boot, keys.next);
+                    if last_fetch.elapsed() >= MISSING_TURNS_INTERVAL {
+                        last_fetch = Instant::now();
+                        self.fetch_missing_turns().await;
+                    }
+                    last_page = Instant::now();
                 }
                 Err(error) => {
                     let delay = self.record_failure(&error);
@@ -208,6 +230,20 @@
         Ok(keys)
     }
 
+    /// Fetches turns that are continued here but missing. They expired here while the other replica
+    /// knew that they were needed.
+    async fn fetch_missing_turns(&self) {
+        let missing = self.replica.index().missing_turns(MAX_RECORDS_PER_CALL);
+        if missing.is_empty() {
+            return;
+        }
+        let _guard = self.replica.lock_fetch().await;
+        let missing = self.not_on_disk(&missing);
+        if let Err(error) = self.fetch(missing).await {
+            tracing::debug!(event = "missing_turns_not_fetched", disk = self.peer_disk, %error);
+        }
+    }
+
     /// Returns those of `keys` whose records aren't on disk here.
     fn not_on_disk(&self, keys: &[Key]) -> Vec<Key> {
         let index = self.replica.index();
--- a/crates/gradedyke-turns/tests/quorum/main.rs
+++ b/crates/gradedyke-turns/tests/quorum/main.rs
@@ -4,11 +4,13 @@
 //! - `large`: turns and conversations that are larger than a page or a message.
 //! - `replicas`: replicas that sync with each other, start up, or are overloaded.
 //! - `relay`: entries that reach replicas through other entries.
+//! - `resync`: followers that fetch what they removed too early.
 
 mod absent;
 mod large;
 mod relay;
 mod replicas;
+mod resync;
 
 use std::sync::Arc;
 use std::time::Duration;
