--- a/crates/gradedyke-turns/src/index.rs
+++ b/crates/gradedyke-turns/src/index.rs
@@ -1,9 +1,8 @@
 //! In-memory index of the records that a replica stores.
 //!
 //! Records may be applied in any order and more than once. A turn is retained at least as long as
-//! each turn that continues it, and at least while one that continues it runs ([`Index::hold`]).
-//! Turn bodies are cached in memory up to a limit and are read from disk
-//! otherwise.
+//! each turn that continues it, and while one that continues it runs ([`Index::hold`]). Turn bodies
+//! are cached in memory up to a limit and are read from disk otherwise.
 //!
 //! Requests and programs are stored in slot maps and refer to each other by key, so
 //! an ID is hashed once for each record and ancestors are followed without hashing.
