Log from where each configuration came

A served request did not tell which configuration decided it, and nothing told when a change reached a keeper. 'answered' and 'stream_ended' now have the version, its age and its source, as 'refused' has; each process logs 'config_received' with the source (store, disk or the address of a process) once for each revision that it receives, so a change can be followed from the store through keepers to entries.

--- a/crates/gradedyke-gateway/src/entry/call.rs
+++ b/crates/gradedyke-gateway/src/entry/call.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
+use super::provenance::Provenance;
 use crate::config::{Config, Route};
 use crate::dialect::Meta;
 use crate::memory::Lease;
@@ -24,6 +25,8 @@
     pub id: Id,
     /// The configuration that was active when the request was routed.
     pub config: Arc<Config>,
+    /// Where that configuration came from, and its age.
+    pub provenance: Provenance,
     /// The matched route.
     pub route: Arc<Route>,
     /// Name of the service whose backend servers run the request.
--- a/crates/gradedyke-gateway/src/entry/door.rs
+++ b/crates/gradedyke-gateway/src/entry/door.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::Entry;
+use super::provenance::Provenance;
 use super::refusal::Refusal;
 use crate::dialect::Meta;
 
@@ -34,12 +35,7 @@
 }
 
 impl RefusedRequest {
-    fn response(
-        &self,
-        waited: Duration,
-        config: Option<u64>,
-        data_age: Option<Duration>,
-    ) -> Response<Body> {
+    fn response(&self, waited: Duration, provenance: &Provenance) -> Response<Body> {
         let id_text = |id: Option<&Id>| id.map_or_else(String::new, |id| id.as_str().to_owned());
         let retry_after = self.refusal.retry_after(self.expected_wait, rand::random());
         tracing::info!(
@@ -50,8 +46,9 @@
             waited_ms = waited.as_millis(),
             drain_ms = self.expected_wait.as_millis(),
             retry_after_ms = retry_after.map(|a| a.as_millis()),
-            config,
-            config_age_ms = data_age.map(|a| a.as_millis())
+            config = provenance.version,
+            config_age_ms = provenance.age_ms(),
+            config_source = provenance.source_text()
         );
         self.refusal.response(retry_after)
     }
@@ -76,12 +73,10 @@
         metrics::counter!("gradedyke_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("gradedyke_head_seconds").record(seconds);
         let mut response = result.unwrap_or_else(|refused| {
-            let config = entry.config.load().as_ref().map(|c| c.version);
-            refused.response(
-                arrived.elapsed(),
-                config,
-                entry.data_age_upper_bound(arrived),
-            )
+            let config = entry.config.load();
+            let age = entry.data_age_upper_bound(arrived);
+            let provenance = entry.provenance(config.as_deref(), age);
+            refused.response(arrived.elapsed(), &provenance)
         });
         // After an error response while this entry is not ready, the connection is closed, so
         // that the caller connects to another entry.
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -9,6 +9,7 @@
 //! - [`turn`]: requests whose response is streamed, and turns of conversations. `upstream`
 //!   opens the stream at a backend server, `relay` forwards its events, `budget` reports
 //!   the tokens used.
+//! - [`provenance`]: which configuration decided a request.
 //! - `door`: HTTP handlers, with logs and metrics for each request.
 //! - [`refusal`]: error responses that an entry sends itself.
 
@@ -22,6 +23,7 @@
 mod fingerprint;
 mod hold;
 pub mod plain;
+pub mod provenance;
 pub mod refusal;
 mod relay;
 pub mod turn;
@@ -55,6 +57,7 @@
 use gradedyke_policy::outage::History;
 use gradedyke_policy::progress::Progress;
 use gradedyke_policy::throttle::Throttle;
+use provenance::Provenance;
 use refusal::Refusal;
 
 pub use door::{CallerHandler, ReadinessHandler};
@@ -177,6 +180,15 @@
         Some(now.saturating_duration_since(confirmed))
     }
 
+    /// Returns the provenance of `config` for a request that arrived when the data had this `age`.
+    fn provenance(&self, config: Option<&Config>, age: Option<Duration>) -> Provenance {
+        Provenance {
+            version: config.map(|c| c.version),
+            age,
+            source: self.mirror.origin().map(|o| o.source),
+        }
+    }
+
     /// Updates the gauges of configuration version and age.
     pub(crate) fn record_gauges(&self, now: Instant) {
         if let Some(config) = &*self.config.load() {
@@ -279,6 +291,7 @@
             version = config.version,
             before,
             revision,
+            source = self.provenance(None, None).source_text(),
             routes = config.len(),
             services = config.services.len(),
             keys = config.accounts.as_ref().map_or(0, Directory::len)
@@ -446,6 +459,7 @@
         let allowed_regions = Call::allowed_regions(&route, account.as_deref());
         Ok(Call {
             id,
+            provenance: self.provenance(Some(&config), age),
             config,
             route,
             allowed_regions,
--- a/crates/gradedyke-gateway/src/entry/plain.rs
+++ b/crates/gradedyke-gateway/src/entry/plain.rs
@@ -214,6 +214,8 @@
     }
     tracing::info!(event = "answered", request = %call.id, server = %choice.id,
         status = parts.status.as_u16(), bytes = body.len(),
+        config = call.provenance.version, config_age_ms = call.provenance.age_ms(),
+        config_source = call.provenance.source_text(),
         ms = call.arrived.elapsed().as_millis());
     let held = Held::new(body.finish(), lease);
     let mut reply = Response::new(held.map_err(|never| match never {}).boxed_unsync());
--- a/crates/gradedyke-gateway/src/entry/relay.rs
+++ b/crates/gradedyke-gateway/src/entry/relay.rs
@@ -181,6 +181,9 @@
         let now = Instant::now();
         tracing::info!(event = "stream_ended", request = %self.call.id, end = name, cause,
             server = %self.choice.id, status = status.as_u16(), tokens = self.tokens,
+            config = self.call.provenance.version,
+            config_age_ms = self.call.provenance.age_ms(),
+            config_source = self.call.provenance.source_text(),
             first_ms = self.time_to_first_event().map(|t| t.as_millis()),
             events_ms = self.streaming_time().map(|t| t.as_millis()),
             ms = (now - self.call.arrived).as_millis());
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -102,8 +102,9 @@
     membership::draw_join_delay(settings.first_start)
 }
 
-fn prefixes(dialect: &dyn Dialect) -> Vec<&str> {
-    dialect.prefixes()
+/// Creates the empty copy of the platform's key-value store.
+fn new_mirror(dialect: &dyn Dialect) -> Arc<Mirror> {
+    Mirror::with_traced_key(&dialect.prefixes(), Some(dialect.config_key()))
 }
 
 /// Returns the pacing of the calls to the platform's store.
@@ -139,7 +140,7 @@
     pub async fn start_entry(settings: Settings, environment: Environment) -> eyre::Result<Self> {
         let caller = require(settings.listen.caller, "listen.caller")?;
         let ready = require(settings.listen.ready, "listen.ready")?;
-        let mirror = Mirror::new(&prefixes(&*environment.dialect));
+        let mirror = new_mirror(&*environment.dialect);
         let peer_listener = match settings.listen.peer {
             Some(address) => {
                 let listener = TcpListener::bind(address).await;
@@ -249,7 +250,7 @@
         let peer = require(settings.listen.peer, "listen.peer")?;
         let folder = require(settings.data_folder.clone(), "data_folder")?;
         let stop = CancellationToken::new();
-        let mirror = Mirror::new(&prefixes(&*environment.dialect));
+        let mirror = new_mirror(&*environment.dialect);
         let listener = TcpListener::bind(peer).await;
         let listener = listener
             .wrap_err_with(|| format!("cannot listen on {peer}; free it or change listen.peer"))?;
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::message::{self, Reply, Request};
-use crate::mirror::{Cursor, Item, Mirror, Update};
+use crate::mirror::{Cursor, Item, Mirror, Source, Update};
 use crate::quorum::Coordinator;
 
 pub use policy::{ENTRY_START_GRACE, KEEPER_START_GRACE, Policy, Standby};
@@ -340,6 +340,7 @@
             continue;
         };
         mirror.apply_update(update, items, sent, now);
+        mirror.record_source(Source::Peer(source), now);
         if !std::mem::replace(&mut session.is_source_logged, true) {
             tracing::info!(
                 event = "feed_joined",
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -7,10 +7,12 @@
 //! the copy unchanged.
 //!
 //! `follow` reads and watches the store; [`crate::feed`] follows another process. `state`
-//! and `items` hold the copy, and `packed` encodes items for transfer.
+//! and `items` hold the copy, and `packed` encodes items for transfer. `origin` tells from where a
+//! process received the configuration.
 
 mod follow;
 mod items;
+mod origin;
 pub mod packed;
 mod state;
 
@@ -25,6 +27,7 @@
 use tokio::time::Instant;
 
 pub use follow::{Need, Pacing, Timing, follow};
+pub use origin::{Origin, Source};
 pub use packed::PackedItems;
 use state::State;
 
@@ -101,6 +104,8 @@
     /// Random ID of this process's incarnation.
     boot: u64,
     prefixes: Vec<String>,
+    /// The key whose changes are logged and whose origin is known, if any.
+    traced_key: Option<String>,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
     /// When the store last confirmed the copy after an outage.
@@ -114,9 +119,16 @@
 impl Mirror {
     /// Creates an empty copy of the keys that begin with one of `prefixes`.
     pub fn new(prefixes: &[&str]) -> Arc<Self> {
+        Self::with_traced_key(prefixes, None)
+    }
+
+    /// Creates an empty copy of the keys that begin with one of `prefixes`, which logs from where
+    /// it received each change of `traced_key`.
+    pub fn with_traced_key(prefixes: &[&str], traced_key: Option<&str>) -> Arc<Self> {
         Arc::new(Self {
             boot: rand::random(),
             prefixes: prefixes.iter().map(|p| (*p).to_owned()).collect(),
+            traced_key: traced_key.map(str::to_owned),
             state: Mutex::default(),
             changed: watch::Sender::new(0),
             regained: watch::Sender::new(None),
@@ -187,6 +199,35 @@
         Some(now.saturating_duration_since(confirmed_at))
     }
 
+    /// Returns from where the traced key was last received; `None` if it never was.
+    pub fn origin(&self) -> Option<Origin> {
+        self.lock().origin
+    }
+
+    /// Records that changes were received from `source`. Logs a change of the traced key, so that
+    /// it can be followed from process to process.
+    pub fn record_source(&self, source: Source, now: Instant) {
+        let Some(key) = &self.traced_key else {
+            return;
+        };
+        let mut state = self.lock();
+        let Some(revision) = state.items.get(key).map(|item| item.revision) else {
+            return;
+        };
+        if state.origin.is_some_and(|o| o.revision >= revision) {
+            return;
+        }
+        let requested_at = state.earliest(&self.prefixes, |p| p.requested_at);
+        state.origin = Some(Origin {
+            revision,
+            source,
+            received_at: now,
+        });
+        drop(state);
+        let age = requested_at.map(|at| now.saturating_duration_since(at).as_millis());
+        tracing::info!(event = "config_received", key, revision, %source, data_age_ms = age);
+    }
+
     /// Returns when the last request that the store answered was sent, by this or another
     /// process. The copy has all earlier changes. `None` if the store never answered.
     pub fn complete_as_of(&self) -> Option<Instant> {
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::{Item, Mirror};
+use super::{Item, Mirror, Source};
 
 /// Delay before the next call after one that returned changes, so that changes which come in
 /// quick succession are returned by one call.
@@ -188,6 +188,7 @@
         ReadStart::Compacted => return Err(Error::Compacted),
     };
     mirror.record_confirmation(prefix, requested_at, now);
+    mirror.record_source(Source::Store, now);
     let pacing = retry.timing.pacing;
     if let Some(pacing) = pacing {
         watch.set_max_wait(pacing.max_wait);
@@ -207,6 +208,7 @@
         let changed = !events.is_empty();
         mirror.apply_watched(prefix, events.into_iter().map(to_item).collect(), now);
         mirror.record_confirmation(prefix, requested_at, now);
+        mirror.record_source(Source::Store, now);
         let pause = pacing.and_then(|p| p.pause_after(now - requested_at, changed));
         match pause {
             Some(pause) => tokio::time::sleep(pause).await,
--- a/crates/gradedyke-turns/src/mirror/state.rs
+++ b/crates/gradedyke-turns/src/mirror/state.rs
@@ -6,7 +6,7 @@
 use gradedyke_platform::kv::Revision;
 use tokio::time::Instant;
 
-use super::Item;
+use super::{Item, Origin};
 use super::items::{Items, Page};
 
 /// Largest number of cached pages.
@@ -41,6 +41,8 @@
     /// Since when the store has answered without a failure.
     pub(super) available_since: Option<Instant>,
     pub(super) neighbours: Vec<SocketAddr>,
+    /// From where the traced key was last received.
+    pub(super) origin: Option<Origin>,
 }
 
 impl State {
--- a/crates/gradedyke-turns/src/snapshot.rs
+++ b/crates/gradedyke-turns/src/snapshot.rs
@@ -22,7 +22,7 @@
 
 use crate::crash::{Registry, Report};
 use crate::log::sync_folder;
-use crate::mirror::{Item, Mirror};
+use crate::mirror::{Item, Mirror, Source};
 use crate::replica::Replica;
 use crate::usage::SavedRow;
 
@@ -101,6 +101,7 @@
     };
     tracing::info!(event = "mirror_loaded", items = items.len());
     mirror.apply(items, now);
+    mirror.record_source(Source::Disk, now);
 }
 
 /// Loads the usage snapshot in `folder` into `replica`. Does nothing if it is missing or
