Read what can be read of the platform's store

What callers saw: with everything sound, requests ran by an old configuration, and some seconds later were refused as 'unconfirmed', until the store lost a key.

Cause: a listing put the last key of a page into the URI of the next call as it was. After a key of another writer with a blank or 'é' no call could be built, which counted as an unreachable store; after one with '&' or '#' the same page came again, without end. One item without a revision, or one page that the store answers with 500, ended the listing as well. A process lists at its start, and when the store has forgotten the changes since its copy: all of them at the same time, for as long as the key exists.

A watch that the store cannot answer is not repeated for ever.

--- a/crates/gradedyke-backend/src/error.rs
+++ b/crates/gradedyke-backend/src/error.rs
@@ -48,10 +48,11 @@
     fn from(error: client::Error) -> Self {
         let text = error.to_string();
         match error {
-            client::Error::NotSent { .. } => Error::NotSent(text),
-            client::Error::ConnectionLost { .. } | client::Error::TimedOut { .. } => {
-                Error::Interrupted(text)
-            }
+            client::Error::NotSent { .. } | client::Error::Invalid { .. } => Error::NotSent(text),
+            client::Error::ConnectionLost { .. }
+            | client::Error::InvalidReply { .. }
+            | client::Error::ReplyTooLarge { .. }
+            | client::Error::TimedOut { .. } => Error::Interrupted(text),
             client::Error::Status {
                 status,
                 message,
--- a/crates/gradedyke-gateway/tests/follow/store.rs
+++ b/crates/gradedyke-gateway/tests/follow/store.rs
@@ -145,6 +145,7 @@
         Ok(Listing {
             entries: vec![Store::entry(revision)],
             revision: Revision::try_from(revision).unwrap(),
+            ..Listing::default()
         })
     }
 
--- a/crates/gradedyke-http/src/client.rs
+++ b/crates/gradedyke-http/src/client.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use gradedyke_base::problem::Problem;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as Legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -31,8 +31,15 @@
         /// Why no connection was established.
         cause: String,
     },
-    /// The connection failed or the reply was invalid; the request may have been
-    /// executed.
+    /// The request cannot be sent to any server, so it was not sent.
+    #[error("a request to {address} is invalid ({cause}); correct it")]
+    Invalid {
+        /// The server's address.
+        address: SocketAddr,
+        /// What is invalid.
+        cause: String,
+    },
+    /// The connection failed; the request may have been executed.
     #[error("{address} broke off ({cause}); see its log")]
     ConnectionLost {
         /// The address that was asked.
@@ -40,6 +47,22 @@
         /// What failed.
         cause: String,
     },
+    /// The reply is not what was expected; the request may have been executed.
+    #[error("the reply of {address} cannot be read ({cause}); check what it serves")]
+    InvalidReply {
+        /// The address that was asked.
+        address: SocketAddr,
+        /// What is wrong with the reply.
+        cause: String,
+    },
+    /// The reply is larger than allowed; the request may have been executed.
+    #[error("the reply of {address} has over {limit} bytes; ask for less")]
+    ReplyTooLarge {
+        /// The address that was asked.
+        address: SocketAddr,
+        /// The maximum size of its body, in bytes.
+        limit: usize,
+    },
     /// No reply arrived before the timeout; the request may have been executed.
     #[error("{address} did not answer in {} ms; see whether it is overloaded", timeout.as_millis())]
     TimedOut {
@@ -65,7 +88,7 @@
 impl Error {
     /// Whether the request was not sent, and so was certainly not executed.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Error::NotSent { .. })
+        matches!(self, Error::NotSent { .. } | Error::Invalid { .. })
     }
 
     /// The status of the reply, if there was one.
@@ -87,6 +110,10 @@
     pub http2: bool,
     /// Whether to keep connections open and reuse them for later requests.
     pub reuse_connections: bool,
+    /// Maximum size of a reply's head over HTTP/1, in bytes; `None` for that of the library.
+    pub max_head_bytes: Option<usize>,
+    /// Maximum size of a reply body that is read as a whole, in bytes.
+    pub max_reply_bytes: usize,
 }
 
 impl Default for Config {
@@ -95,6 +122,8 @@
             connect_timeout: Duration::from_secs(1),
             http2: false,
             reuse_connections: true,
+            max_head_bytes: None,
+            max_reply_bytes: MAX_REPLY_BYTES,
         }
     }
 }
@@ -105,7 +134,7 @@
 /// so that slow readers of some streams do not block the other streams.
 const CONNECTION_WINDOW_BYTES: u32 = (1 << 31) - 1;
 
-/// Maximum size of a reply body that is read as a whole, in bytes.
+/// Default maximum size of a reply body that is read as a whole, in bytes.
 pub const MAX_REPLY_BYTES: usize = 64 << 20;
 
 /// Maximum length of the message taken from an error reply in another format, in
@@ -116,6 +145,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: Legacy<HttpConnector, Body>,
+    max_reply_bytes: usize,
 }
 
 impl Client {
@@ -134,8 +164,12 @@
         if !config.reuse_connections {
             builder.pool_max_idle_per_host(0);
         }
+        if let Some(max) = config.max_head_bytes {
+            builder.http1_max_buf_size(max);
+        }
         Self {
             inner: builder.build(connector),
+            max_reply_bytes: config.max_reply_bytes,
         }
     }
 
@@ -174,7 +208,7 @@
         let exchange = async {
             let reply = self.send(address, request).await?;
             let (head, incoming) = reply.into_parts();
-            let bytes = read_body(address, incoming).await?;
+            let bytes = read_body_up_to(address, incoming, self.max_reply_bytes).await?;
             if head.status.is_success() {
                 Ok((head.headers, bytes))
             } else {
@@ -202,7 +236,7 @@
         timeout: Duration,
     ) -> Result<U, Error> {
         let body = match value {
-            Some(value) => body::full(serde_json::to_vec(value).map_err(|e| Error::NotSent {
+            Some(value) => body::full(serde_json::to_vec(value).map_err(|e| Error::Invalid {
                 address,
                 cause: e.to_string(),
             })?),
@@ -211,7 +245,7 @@
         let request = build_request(method, address, path, body)?;
         let (_, bytes) = self.send_and_read(address, request, timeout).await?;
         let bytes: &[u8] = if bytes.is_empty() { b"null" } else { &bytes };
-        serde_json::from_slice(bytes).map_err(|e| Error::ConnectionLost {
+        serde_json::from_slice(bytes).map_err(|e| Error::InvalidReply {
             address,
             cause: e.to_string(),
         })
@@ -222,7 +256,7 @@
 ///
 /// # Errors
 ///
-/// [`Error::NotSent`] if the path is not valid in a URI.
+/// [`Error::Invalid`] if the path is not valid in a URI.
 pub fn build_request(
     method: Method,
     address: SocketAddr,
@@ -234,7 +268,7 @@
         .uri(format!("http://{address}{path}"))
         .header(header::CONTENT_TYPE, "application/json")
         .body(body)
-        .map_err(|e| Error::NotSent {
+        .map_err(|e| Error::Invalid {
             address,
             cause: e.to_string(),
         })
@@ -244,12 +278,25 @@
 ///
 /// # Errors
 ///
-/// [`Error::ConnectionLost`] if the body ends early or is longer than [`MAX_REPLY_BYTES`].
+/// [`Error::ConnectionLost`] if the body ends early, [`Error::ReplyTooLarge`] if it is longer than
+/// [`MAX_REPLY_BYTES`].
 pub async fn read_body(address: SocketAddr, incoming: Incoming) -> Result<Bytes, Error> {
-    let limited = http_body_util::Limited::new(incoming, MAX_REPLY_BYTES);
-    let collected = limited.collect().await.map_err(|e| Error::ConnectionLost {
-        address,
-        cause: e.to_string(),
+    read_body_up_to(address, incoming, MAX_REPLY_BYTES).await
+}
+
+/// Reads a reply's whole body of at most `limit` bytes.
+async fn read_body_up_to(
+    address: SocketAddr,
+    incoming: Incoming,
+    limit: usize,
+) -> Result<Bytes, Error> {
+    let limited = http_body_util::Limited::new(incoming, limit);
+    let collected = limited.collect().await.map_err(|e| {
+        if e.is::<LengthLimitError>() {
+            return Error::ReplyTooLarge { address, limit };
+        }
+        let cause = e.to_string();
+        Error::ConnectionLost { address, cause }
     })?;
     Ok(collected.to_bytes())
 }
--- a/crates/gradedyke-platform/src/etcd.rs
+++ b/crates/gradedyke-platform/src/etcd.rs
@@ -204,10 +204,13 @@
 /// Converts the error of a call.
 fn convert_error(error: &client::Error) -> Error {
     match error {
-        client::Error::NotSent { .. } => Error::Unavailable(error.to_string()),
-        client::Error::ConnectionLost { .. } | client::Error::TimedOut { .. } => {
-            Error::OutcomeUnknown(error.to_string())
+        client::Error::NotSent { .. } | client::Error::Invalid { .. } => {
+            Error::Unavailable(error.to_string())
         }
+        client::Error::ConnectionLost { .. }
+        | client::Error::InvalidReply { .. }
+        | client::Error::ReplyTooLarge { .. }
+        | client::Error::TimedOut { .. } => Error::OutcomeUnknown(error.to_string()),
         client::Error::Status { message, .. } if message.contains("lease not found") => {
             Error::LeaseExpired
         }
@@ -295,6 +298,7 @@
                 .map(decode_entry)
                 .collect::<Result<_, _>>()?,
             revision: parse_number(&reply.header.revision),
+            unread: Vec::new(),
         })
     }
 
--- a/crates/gradedyke-platform/src/kv.rs
+++ b/crates/gradedyke-platform/src/kv.rs
@@ -37,6 +37,40 @@
     pub entries: Vec<Entry>,
     /// The store's revision at the time of the read.
     pub revision: Revision,
+    /// Keys that could not be read; of these, only the entries that are listed are known.
+    pub unread: Vec<KeyRange>,
+}
+
+impl Listing {
+    /// Whether a key is among those that could not be read.
+    pub fn is_unread(&self, key: &str) -> bool {
+        self.unread.iter().any(|range| range.contains(key))
+    }
+}
+
+/// A range of keys in their order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyRange {
+    /// The key before the first one.
+    pub after: String,
+    /// The last key; `None` if the range has no end.
+    pub until: Option<String>,
+}
+
+impl KeyRange {
+    /// Whether the range contains `key`.
+    ///
+    /// ```
+    /// use gradedyke_platform::kv::KeyRange;
+    ///
+    /// let range = KeyRange { after: "a".to_owned(), until: Some("c".to_owned()) };
+    /// assert!(!range.contains("a"));
+    /// assert!(range.contains("b"));
+    /// assert!(!range.contains("d"));
+    /// ```
+    pub fn contains(&self, key: &str) -> bool {
+        key > self.after.as_str() && self.until.as_deref().is_none_or(|until| key <= until)
+    }
 }
 
 /// A compare-and-swap: a write that succeeds only if the key has the
@@ -95,11 +129,21 @@
     /// The start revision of the watch has been compacted.
     #[error("the watch starts too far back; list the keys again and watch from there")]
     Compacted,
+    /// The service answered a read, but the answer cannot be read.
+    #[error("an answer of the key-value service cannot be read ({0}); find out who wrote it")]
+    Unreadable(String),
     /// The service answered with an error.
     #[error("the key-value service refused the call ({0}); see its log")]
     Refused(String),
 }
 
+impl Error {
+    /// Whether the service answered, and the same call would probably fail again.
+    pub fn is_persistent(&self) -> bool {
+        matches!(self, Error::Refused(_) | Error::Unreadable(_))
+    }
+}
+
 /// The key-value service.
 #[async_trait]
 pub trait KeyValue: Send + Sync {
--- a/crates/gradedyke-platform/src/lib.rs
+++ b/crates/gradedyke-platform/src/lib.rs
@@ -4,10 +4,12 @@
 //! HTTP adapter for a published API.
 //!
 //! - [`kv`]: the key-value service; [`etcd`] is its adapter.
+//! - [`listing`]: reads all keys of a service that returns them in pages.
 //! - [`instances`]: the instance list; its adapter reads Consul's health API.
 //! - [`weights`]: the weight store, read over plain HTTP.
 
 pub mod etcd;
 pub mod instances;
 pub mod kv;
+pub mod listing;
 pub mod weights;
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gradedyke_platform::kv::{Entry, Revision};
+use gradedyke_platform::kv::{Entry, KeyRange, Revision};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -270,8 +270,21 @@
 
     /// Applies a complete listing of `prefix` as of `revision`.
     pub fn apply_listing(&self, prefix: &str, items: Vec<Item>, revision: Revision, now: Instant) {
+        self.apply_partial_listing(prefix, items, revision, &[], now);
+    }
+
+    /// Applies a listing of `prefix` as of `revision`, without the keys in `unread`. These stay as
+    /// they are unless they are listed nevertheless.
+    pub fn apply_partial_listing(
+        &self,
+        prefix: &str,
+        items: Vec<Item>,
+        revision: Revision,
+        unread: &[KeyRange],
+        now: Instant,
+    ) {
         let mut state = self.lock();
-        let changed = state.apply_listing(prefix, items, revision, now);
+        let changed = state.apply_listing(prefix, items, revision, unread, now);
         self.notify(state, changed);
     }
 
@@ -373,7 +386,7 @@
                 for prefix in &self.prefixes {
                     let matches = |i: &&Item| i.key.starts_with(prefix.as_str());
                     let items = items.iter().filter(matches).cloned().collect();
-                    changed |= state.apply_listing(prefix, items, revision, now);
+                    changed |= state.apply_listing(prefix, items, revision, &[], now);
                 }
             }
             None => {
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -178,7 +178,8 @@
     let (mut watch, listed) = match start {
         ReadStart::Listed(listing) => {
             let items = listing.entries.into_iter().map(Item::from);
-            mirror.apply_listing(prefix, items.collect(), listing.revision, now);
+            let (revision, unread) = (listing.revision, &listing.unread);
+            mirror.apply_partial_listing(prefix, items.collect(), revision, unread, now);
             (kv.watch(prefix, listing.revision + 1).await?, true)
         }
         ReadStart::Resumed(events, watch) => {
@@ -226,7 +227,8 @@
     Listed(Listing),
     /// A watch was resumed; it returned the changes since the last read.
     Resumed(Vec<Event>, Box<dyn Watch>),
-    /// The watch cannot be resumed: the store has compacted the changes since the last read.
+    /// The watch cannot be resumed: the store has compacted the changes since the last read, or
+    /// cannot return them.
     Compacted,
 }
 
@@ -245,6 +247,11 @@
         };
         match resumed.await {
             Err(Error::Compacted) => return Ok(ReadStart::Compacted),
+            // The same call would fail again, whatever it is that the store cannot answer.
+            Err(error) if error.is_persistent() => {
+                tracing::warn!(event = "watch_not_resumed", prefix, complete_revision, %error);
+                return Ok(ReadStart::Compacted);
+            }
             resumed => return resumed,
         }
     }
--- a/crates/gradedyke-turns/src/mirror/state.rs
+++ b/crates/gradedyke-turns/src/mirror/state.rs
@@ -3,11 +3,11 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-use gradedyke_platform::kv::Revision;
+use gradedyke_platform::kv::{KeyRange, Revision};
 use tokio::time::Instant;
 
-use super::{Item, Origin};
 use super::items::{Items, Page};
+use super::{Item, Origin};
 
 /// Largest number of cached pages.
 const MAX_CACHED_PAGES: usize = 256;
@@ -117,18 +117,21 @@
         true
     }
 
-    /// Applies a complete listing of `prefix`: marks keys that are not in it as deleted and
-    /// stores newer items. Returns whether anything changed.
+    /// Applies a listing of `prefix`: marks keys that are neither in it nor in `unread` as deleted
+    /// and stores newer items. Returns whether anything changed.
     pub(super) fn apply_listing(
         &mut self,
         prefix: &str,
         items: Vec<Item>,
         revision: Revision,
+        unread: &[KeyRange],
         now: Instant,
     ) -> bool {
         let listed: HashSet<&str> = items.iter().map(|i| i.key.as_str()).collect();
         let is_deleted = |item: &&Item| {
-            item.value.is_some() && item.revision <= revision && !listed.contains(item.key.as_str())
+            let key = item.key.as_str();
+            let is_absent = !listed.contains(key) && !unread.iter().any(|r| r.contains(key));
+            item.value.is_some() && item.revision <= revision && is_absent
         };
         let stored = self.items.with_prefix(prefix).map(|stored| &stored.item);
         let deleted: Vec<String> = stored.filter(is_deleted).map(|i| i.key.clone()).collect();
