Do not wait for ever for keepers that stay outdated

What callers saw: requests that ran by an old configuration for as long as keepers answered, but could not read the store.

Cause: the need of an entry to read the store stayed low while keepers answered with outdated copies, and with a low need it did not list after the store had forgotten its history. It also did not ask other entries, and decided by when a confirmation was received, refusals by when the confirmed call was sent: an entry that refused requests as outdated might not look for anything fresher.

Both ages count.

--- a/crates/gradedyke-gateway/src/follow.rs
+++ b/crates/gradedyke-gateway/src/follow.rs
@@ -106,7 +106,7 @@
         let mirror = self.mirror.clone();
         let need = move || {
             let now = Instant::now();
-            policy.need(mirror.age(now), now)
+            policy.need(mirror.age(now), mirror.complete_as_of(), now)
         };
         let timing = mirror::Timing {
             pacing: self.pacing,
@@ -152,7 +152,7 @@
                 let down = self.coordinator.client(first.address).is_down();
                 self.standby.need(age, down, now)
             }
-            _ => self.policy.need(age, now),
+            _ => self.policy.need(age, self.mirror.complete_as_of(), now),
         }
     }
 
--- a/crates/gradedyke-gateway/tests/follow/main.rs
+++ b/crates/gradedyke-gateway/tests/follow/main.rs
@@ -37,6 +37,11 @@
 const SOURCE_SELECTION_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the state of the entries is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which entries must get fresh data without a keeper that has stopped to get any:
+/// the propagation limit, and the 5 s by which it may be exceeded while a part of the platform fails.
+const UNHEALED_LIMIT: Duration = Duration::from_millis(7_000);
+/// Maximum number of listings in that time, however many entries there are.
+const MAX_LISTINGS: usize = 20;
 /// Number of entries of a small and of a larger deployment.
 const ENTRY_COUNTS: [u16; 2] = [8, 58];
 
@@ -311,6 +316,42 @@
     }
 }
 
+/// Guards against entries that stay with a keeper that answers but never gets fresh data, and
+/// against a listing by each of them.
+#[tokio::test(start_paused = true)]
+async fn entries_do_not_depend_on_a_keeper_that_never_recovers() {
+    for entries in ENTRY_COUNTS {
+        let deployment = Deployment::start(entries);
+        deployment.run_for(ms(5_000), ms(250)).await;
+        let listings = || deployment.store.listings.load(Ordering::Relaxed);
+        let before = listings();
+        deployment.keeper_cut_off.store(true, Ordering::Relaxed);
+        deployment.run_for(ms(300), ms(250)).await;
+        deployment.store.compact();
+        deployment.run_for(UNHEALED_LIMIT, ms(250)).await;
+        let worst = deployment.run_for(ms(10_000), ms(250)).await;
+        assert!(
+            worst <= PROPAGATION_LIMIT,
+            "{entries} entries: {worst:?} late"
+        );
+        let listings = listings() - before;
+        assert!(listings <= MAX_LISTINGS, "{entries} entries: {listings}");
+    }
+}
+
+/// Guards against an entry whose data arrives late on each hop, so that it refuses requests but
+/// does not look for fresher data.
+#[tokio::test(start_paused = true)]
+async fn entry_that_refuses_outdated_data_reads_the_store() {
+    let policy = gradedyke_turns::feed::Policy::new(Instant::now(), ms(0), PROPAGATION_LIMIT);
+    tokio::time::advance(ms(10_000)).await;
+    let now = Instant::now();
+    policy.record_update(true, now);
+    // A confirmation that was received just now, of a call that was sent long ago.
+    let need = policy.need(Some(ms(10)), Some(now - PROPAGATION_LIMIT - ms(1)), now);
+    assert_ne!(need, Need::None);
+}
+
 /// Guards against all entries listing the whole store at once when they lose their keepers.
 #[tokio::test(start_paused = true)]
 async fn entries_that_lose_their_keepers_continue_without_listing() {
--- a/crates/gradedyke-turns/src/feed.rs
+++ b/crates/gradedyke-turns/src/feed.rs
@@ -147,7 +147,7 @@
     let mut previous = None;
     loop {
         let candidates = sources();
-        let neighbours = neighbours(&mirror, &*peers);
+        let neighbours = neighbours(&mirror, &*peers, &policy, Instant::now());
         if let Some(source) = select_source(&*peers, &policy, &candidates, &neighbours).await {
             let others = progress_by_source
                 .iter_mut()
@@ -178,10 +178,17 @@
 }
 
 /// Neighbours are other running entries. Returns those to follow if no replica can be reached
-/// directly, and otherwise none. Turns continue through forwarded requests in that case, but API
-/// keys are accepted only if recently confirmed, so the copy has to stay fresh.
-fn neighbours(mirror: &Mirror, peers: &dyn Peers) -> Vec<SocketAddr> {
-    let Some(own) = peers.forwarding_address().filter(|_| peers.is_isolated()) else {
+/// directly or none has a fresh copy, and otherwise none. Turns continue through forwarded requests
+/// if no replica can be reached, but API keys are accepted only if recently confirmed, so the copy
+/// has to stay fresh.
+fn neighbours(
+    mirror: &Mirror,
+    peers: &dyn Peers,
+    policy: &Policy,
+    now: Instant,
+) -> Vec<SocketAddr> {
+    let is_needed = peers.is_isolated() || policy.is_without_fresh_replica(now);
+    let Some(own) = peers.forwarding_address().filter(|_| is_needed) else {
         return Vec::new();
     };
     let mut neighbours = mirror.neighbours();
