Take no answer whose status is none for a response

What callers saw: a server in trouble answered '101' or '999', and the caller got that as its response. '000', '099', '1000' and texts were already taken for a broken connection.

Cause: the HTTP library passes each code from 100 to 999 on, and ends the exchange with 101. Final responses have codes from 200 to 599 (RFC 9110, section 15). Any other answer now counts as a connection that broke: the request may have run (502), or is sent to another server if it may run twice.

Evidence: status_that_is_none_is_no_response failed before ('101 on /once/x', 101 in place of 502) and passes with nine statuses on three kinds of routes.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -26,6 +26,8 @@
 use gradedyke_policy::health::Failure;
 use gradedyke_policy::mechanism::Mechanism;
 
+/// Codes of final responses (RFC 9110, section 15). A switch of protocols is never asked for.
+const RESPONSE_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
 /// A request is not sent when less time than this is left until its deadline.
 pub const MIN_TIME_LEFT_TO_SEND: Duration = Duration::from_millis(5);
 
@@ -424,6 +426,16 @@
     response: Response<Incoming>,
     sent_at: Instant,
 ) -> Outcome {
+    // Other codes are no response to a request.
+    if !RESPONSE_STATUSES.contains(&response.status().as_u16()) {
+        tracing::info!(event = "answer_invalid", request = %call.id, server = %choice.id,
+            status = response.status().as_u16());
+        let now = Instant::now();
+        entry
+            .fleet
+            .record_failure(choice.key, Failure::ConnectionLost, now);
+        return Outcome::Unknown;
+    }
     let head = entry
         .dialect
         .response_head(response.status(), response.headers());
