Answer every request before the end of a planned stop

What callers saw: in a planned stop, a request that was read late was passed on to a server, and at the end of the grace period its connection was closed without a response.

Cause: an entry stops accepting connections after 2.3 s, but a request whose head was under way then is read later, and nothing compared its deadline with the end of the process. Now such a request is refused as not run (503, 'stopping') if it may not end before, without being sent. What is in progress 0.15 s before the end gets its final response: 504, or 503 if it was not read to its end.

--- a/crates/gradedyke-gateway/src/entry/attempt.rs
+++ b/crates/gradedyke-gateway/src/entry/attempt.rs
@@ -56,6 +56,8 @@
     Misdirected,
     /// Too little time was left before the deadline to send it.
     NoTime,
+    /// The process stops, and the response may arrive too late.
+    Stopping,
 }
 
 /// Result of sending the request to one server.
@@ -183,6 +185,7 @@
         match send(entry, call, attempts, choice, outbound, suspect.prior).await {
             Outcome::Answered(response) => return Ok(*response),
             Outcome::NotRun(NotRunReason::NoTime) => return Err(Refusal::TooLate),
+            Outcome::NotRun(NotRunReason::Stopping) => return Err(Refusal::Stopping),
             Outcome::NotRun(NotRunReason::Unreachable) => attempts.mark_unreachable(),
             Outcome::NotRun(NotRunReason::Refused | NotRunReason::Misdirected) => {}
             Outcome::Unknown => return Err(Refusal::Interrupted),
@@ -256,6 +259,13 @@
     if time_left < MIN_TIME_LEFT_TO_SEND {
         return Outcome::NotRun(NotRunReason::NoTime);
     }
+    if entry
+        .stop
+        .get()
+        .is_some_and(|stop| stop.may_cut(call.deadline, now))
+    {
+        return Outcome::NotRun(NotRunReason::Stopping);
+    }
     let outbound = Outbound {
         server: &choice.id,
         time_left,
--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -5,6 +5,7 @@
 //! - `capacity`: admission of programs while the servers of a service are full.
 //! - [`attempt`]: sends a request to backend servers.
 //! - [`crash`]: requests under which backend servers ended. `fingerprint` recognizes them.
+//! - [`stop`]: the end of the process after a request to stop.
 //! - [`plain`]: requests whose response is buffered.
 //! - [`turn`]: requests whose response is streamed, and turns of conversations. `upstream`
 //!   opens the stream at a backend server, `relay` forwards its events, `budget` reports
@@ -26,11 +27,12 @@
 pub mod provenance;
 pub mod refusal;
 mod relay;
+pub mod stop;
 pub mod turn;
 mod upstream;
 
 use std::sync::atomic::AtomicUsize;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -59,6 +61,7 @@
 use gradedyke_policy::throttle::Throttle;
 use provenance::Provenance;
 use refusal::Refusal;
+use stop::Stop;
 
 pub use door::{CallerHandler, ReadinessHandler};
 
@@ -134,6 +137,11 @@
     pub mechanisms: Mechanisms,
     /// Cancelled when the process begins its graceful shutdown.
     pub drain: CancellationToken,
+    /// When the process ends, once it was asked to stop.
+    pub stop: OnceLock<Stop>,
+    /// Cancelled shortly before the process ends. Requests in progress then get their final
+    /// responses.
+    pub give_up: CancellationToken,
     /// Revision of the configuration that was last read from the mirror.
     pub config_revision: Mutex<u64>,
     /// Time within which a configuration change must take effect. If the local data is older than
@@ -314,7 +322,9 @@
         arrived: Instant,
     ) -> Result<Response<Body>, RefusedRequest> {
         let meta = self.dialect.meta(request.headers());
-        let call = match self.read_call(request, meta.clone(), arrived).await {
+        let read = self.read_call(request, meta.clone(), arrived);
+        let read = self.give_up.run_until_cancelled(read).await;
+        let call = match read.unwrap_or(Err(Refusal::Stopping)) {
             Ok(call) => call,
             Err(refusal) => {
                 let expected_wait = match refusal {
@@ -330,10 +340,14 @@
         };
         let call = Arc::new(call);
         let refused_call = call.clone();
-        let result = match call.route.kind {
-            Kind::Stream => turn::serve(self, call).await,
-            Kind::Idempotent | Kind::AtMostOnce => self.serve_buffered(call).await,
+        let result = async {
+            match call.route.kind {
+                Kind::Stream => turn::serve(self, call).await,
+                Kind::Idempotent | Kind::AtMostOnce => self.serve_buffered(call).await,
+            }
         };
+        let result = self.give_up.run_until_cancelled(result).await;
+        let result = result.unwrap_or(Err(Refusal::TimedOut));
         if let Err(refusal) = &result
             && refusal.is_unexecuted()
         {
--- a/crates/gradedyke-gateway/src/entry/refusal.rs
+++ b/crates/gradedyke-gateway/src/entry/refusal.rs
@@ -53,6 +53,8 @@
     EndsServers,
     /// The bodies of other requests take all memory for them. The request has not run.
     NoMemory,
+    /// The process stops, and the request may not end before. It has not run.
+    Stopping,
     /// The deadline passed before the request could be sent.
     TooLate,
     /// The request was sent, but no complete response arrived. It may have run.
@@ -92,6 +94,7 @@
             Refusal::BudgetExceeded => "spent",
             Refusal::EndsServers => "ends_servers",
             Refusal::NoMemory => "no_memory",
+            Refusal::Stopping => "stopping",
             Refusal::TooLate => "too_late",
             Refusal::Interrupted => "broken",
             Refusal::TimedOut => "timed_out",
@@ -123,6 +126,7 @@
             | Refusal::ServiceFull(_)
             | Refusal::EndsServers
             | Refusal::NoMemory
+            | Refusal::Stopping
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -161,7 +165,8 @@
             Refusal::StaleData => expected_wait.max(MIN_RETRY_AFTER),
             // Instances take seconds to come back.
             Refusal::RecordsAbsent => MAX_RETRY_AFTER,
-            Refusal::NoServer | Refusal::NoMemory => MIN_RETRY_AFTER,
+            // The caller's next connection goes to another instance.
+            Refusal::NoServer | Refusal::NoMemory | Refusal::Stopping => MIN_RETRY_AFTER,
             _ => return None,
         };
         let factor = jitter.start + (jitter.end - jitter.start) * random;
@@ -204,6 +209,7 @@
                 "several backend servers ended while they ran it; change its content"
             }
             Refusal::NoMemory => "too much is being received here; come back soon or send less",
+            Refusal::Stopping => "this instance stops; send the request again",
             Refusal::TooLate => "the time was over before the request could be sent",
             Refusal::Interrupted => "the backend server broke off; the request may have run",
             Refusal::TimedOut => "the time is over; the request may have run",
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -26,6 +26,7 @@
 
 use crate::dialect::Dialect;
 use crate::entry::crash::Monitor;
+use crate::entry::stop::Stop;
 use crate::entry::{self, CallerHandler, Entry, ReadinessHandler};
 use crate::fleet::Fleet;
 use crate::memory::Pool;
@@ -56,6 +57,9 @@
 const BALANCER_NOTICE_DELAY: Duration = Duration::from_millis(2_300);
 /// Part of the grace period that is reserved for the shutdown itself.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
+/// Part of the grace period before the shutdown in which requests that are still in progress get
+/// their final responses.
+const FINAL_RESPONSE_RESERVE: Duration = Duration::from_millis(150);
 /// Maximum number of caller connections. Three quarters of 4,100 descriptors, where each caller
 /// takes up to one more towards a server.
 const MAX_CALLER_CONNECTIONS: usize = 1_500;
@@ -184,6 +188,8 @@
             progress: Progress::default(),
             mechanisms,
             drain: CancellationToken::new(),
+            stop: OnceLock::new(),
+            give_up: CancellationToken::new(),
             config_revision: Mutex::default(),
             propagation_limit,
             max_key_age: settings
@@ -378,13 +384,26 @@
         let deadline = started_at + grace.saturating_sub(SHUTDOWN_RESERVE);
         tracing::info!(event = "draining", grace_ms = grace.as_millis());
         if let Some(entry) = self.entry.clone() {
+            let stop = Stop {
+                closes_at: deadline.min(started_at + BALANCER_NOTICE_DELAY),
+                ends_at: deadline
+                    .checked_sub(FINAL_RESPONSE_RESERVE)
+                    .unwrap_or(deadline),
+            };
+            // Set once: a process is drained once.
+            entry.stop.get_or_init(|| stop);
             entry.drain.cancel();
-            tokio::time::sleep_until(deadline.min(started_at + BALANCER_NOTICE_DELAY)).await;
+            tokio::time::sleep_until(stop.closes_at).await;
             // Stops accepting connections and closes idle ones. A connection that is reading a
             // request has no request in progress yet, and is waited for as well.
             self.stop.cancel();
             let served = self.callers_served.cancelled();
-            let is_served = tokio::time::timeout_at(deadline, served).await.is_ok();
+            let mut is_served = tokio::time::timeout_at(stop.ends_at, served).await.is_ok();
+            if !is_served {
+                entry.give_up.cancel();
+                let served = self.callers_served.cancelled();
+                is_served = tokio::time::timeout_at(deadline, served).await.is_ok();
+            }
             let left = entry.active_requests.load(Ordering::Relaxed);
             tracing::info!(
                 event = "stopped",
