Let requests wait for recent data after a pause of the process

Cause: a process that was suspended routes by what it knew before, although others know better and answer within milliseconds. Refusals looked at the age of the data, served requests did not.

Without a pause nothing waits: a store that is away does not delay requests.

--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -5,7 +5,7 @@
 //! - `capacity`: admission of programs while the servers of a service are full.
 //! - [`attempt`]: sends a request to backend servers.
 //! - [`crash`]: requests under which backend servers ended. `fingerprint` recognizes them.
-//! - [`stop`]: the end of the process after a request to stop.
+//! - [`pause`]: detects that the process was paused. [`stop`]: its end after a request to stop.
 //! - [`plain`]: requests whose response is buffered.
 //! - [`turn`]: requests whose response is streamed, and turns of conversations. `upstream`
 //!   opens the stream at a backend server, `relay` forwards its events, `budget` reports
@@ -23,6 +23,7 @@
 mod door;
 mod fingerprint;
 mod hold;
+pub mod pause;
 pub mod plain;
 pub mod provenance;
 pub mod refusal;
@@ -142,6 +143,8 @@
     /// Cancelled shortly before the process ends. Requests in progress then get their final
     /// responses.
     pub give_up: CancellationToken,
+    /// Detects pauses of the process.
+    pub pauses: pause::Monitor,
     /// Revision of the configuration that was last read from the mirror.
     pub config_revision: Mutex<u64>,
     /// Time within which a configuration change must take effect. If the local data is older than
@@ -401,6 +404,24 @@
         }
     }
 
+    /// Waits for recent data if the process was paused just before, for a limited time. The
+    /// configuration may have changed meanwhile, and others know it.
+    async fn catch_up(&self, now: Instant) {
+        let Some(until) = self.pauses.catches_up_until(now) else {
+            return;
+        };
+        let mut regained = self.mirror.subscribe_regained();
+        let is_recent = |age: Option<Duration>| age.is_some_and(|a| a <= self.propagation_limit);
+        while !is_recent(self.data_age_upper_bound(Instant::now())) {
+            if tokio::time::timeout_at(until, regained.changed())
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
     /// Returns the account that the request's key belongs to, or `None` where no key is
     /// needed. `age` is the age of the local data.
     fn authenticate(
@@ -433,6 +454,7 @@
             .await
             .ok_or(Refusal::NoConfig)?;
         self.crashes.wait_until_synced(arrived).await;
+        self.catch_up(arrived).await;
         // Read before the configuration, so that the age is never understated.
         let age = self.data_age_upper_bound(arrived);
         let config = self.load_latest_config().unwrap_or(config);
--- a/crates/gradedyke-gateway/src/process.rs
+++ b/crates/gradedyke-gateway/src/process.rs
@@ -27,7 +27,7 @@
 use crate::dialect::Dialect;
 use crate::entry::crash::Monitor;
 use crate::entry::stop::Stop;
-use crate::entry::{self, CallerHandler, Entry, ReadinessHandler};
+use crate::entry::{self, CallerHandler, Entry, ReadinessHandler, pause};
 use crate::fleet::Fleet;
 use crate::memory::Pool;
 use crate::settings::Settings;
@@ -190,6 +190,7 @@
             drain: CancellationToken::new(),
             stop: OnceLock::new(),
             give_up: CancellationToken::new(),
+            pauses: pause::Monitor::new(Instant::now()),
             config_revision: Mutex::default(),
             propagation_limit,
             max_key_age: settings
@@ -464,6 +465,7 @@
             () = stop.cancelled() => return,
         }
         let now = Instant::now();
+        entry.pauses.record(now);
         entry.record_gauges(now);
         entry.record_outage();
         entry.crashes.record_gauges(now);
