--- a/crates/gradedyke/src/entry/mod.rs
+++ b/crates/gradedyke/src/entry/mod.rs
@@ -53,6 +53,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             http2: false,
             reuse_connections: true,
+            ..client::Config::default()
         };
         Self {
             members: kernel.members.clone(),
