Drop what a peer sends for no call

What other operators saw: a faulty process sent bytes without end, and those that had called it kept them all. Here a reply in fragments was put together, up to 64 MiB for each connection, even if no call waited for it: three keepers took an entry of 110 MB over its memory. Fragments of a call that has been given up are now dropped as they come, and a reply to a call that was never made closes the connection. A reply that somebody waits for may still have 64 MiB.

--- a/crates/gradedyke-peer/src/client.rs
+++ b/crates/gradedyke-peer/src/client.rs
@@ -368,7 +368,12 @@
     /// Adds a received frame and delivers the reply that it completes.
     fn receive(&mut self, frame: BytesMut, peer: SocketAddr, now: Instant) -> io::Result<()> {
         self.active_at = now;
-        let (number, message) = self.inbox.receive(frame)?;
+        let (pending, inbox) = (&self.pending, &mut self.inbox);
+        let (number, message) = inbox.receive(frame, |number| pending.contains_key(&number))?;
+        if number > self.number {
+            // No call had this number yet.
+            return Err(io::Error::from(io::ErrorKind::InvalidData));
+        }
         let Some(message) = message else {
             if let Some(call) = self.pending.get(&number) {
                 call.extend(now);
--- a/crates/gradedyke-peer/src/inbox.rs
+++ b/crates/gradedyke-peer/src/inbox.rs
@@ -18,8 +18,11 @@
 /// The message that is being received in fragments.
 struct Partial {
     number: u64,
+    /// What was received; stays empty if nobody waits for the message.
     body: BytesMut,
+    received: usize,
     total: usize,
+    is_wanted: bool,
 }
 
 /// Puts the messages of one connection together. A peer sends the fragments of one message
@@ -34,12 +37,17 @@
 }
 
 impl Inbox {
-    /// Adds a frame. Returns its call's number, and the message if it is complete now.
+    /// Adds a frame. Returns its call's number, and the message if it is complete now. Fragments of
+    /// a message that is not `wanted`, by the call's number, are dropped; the message is then empty.
     ///
     /// # Errors
     ///
     /// The frame is invalid; the connection must be closed.
-    pub(crate) fn receive(&mut self, frame: BytesMut) -> io::Result<(u64, Option<Message>)> {
+    pub(crate) fn receive(
+        &mut self,
+        frame: BytesMut,
+        wanted: impl Fn(u64) -> bool,
+    ) -> io::Result<(u64, Option<Message>)> {
         let Frame { number, kind, body } = Frame::decode(frame).ok_or_else(invalid)?;
         let is_partial = self.partial.as_ref().is_some_and(|p| p.number == number);
         let message = match kind {
@@ -47,7 +55,7 @@
             Kind::Last if is_partial => Some(Message::Whole(self.finish(&body)?)),
             Kind::Last => Some(Message::Whole(body)),
             Kind::More => {
-                self.add(number, body)?;
+                self.add(number, body, wanted(number))?;
                 None
             }
         };
@@ -55,7 +63,7 @@
     }
 
     /// Adds a fragment that others follow.
-    fn add(&mut self, number: u64, mut fragment: Bytes) -> io::Result<()> {
+    fn add(&mut self, number: u64, mut fragment: Bytes, is_wanted: bool) -> io::Result<()> {
         let partial = match &mut self.partial {
             Some(partial) if partial.number == number => partial,
             Some(_) => return Err(invalid()),
@@ -67,8 +75,10 @@
                 }
                 self.partial.insert(Partial {
                     number,
-                    body: BytesMut::with_capacity(total),
+                    body: BytesMut::with_capacity(if is_wanted { total } else { 0 }),
+                    received: 0,
                     total,
+                    is_wanted,
                 })
             }
         };
@@ -79,7 +89,7 @@
     fn finish(&mut self, fragment: &[u8]) -> io::Result<Bytes> {
         let mut partial = self.partial.take().ok_or_else(invalid)?;
         partial.append(fragment)?;
-        if partial.body.len() < partial.total {
+        if partial.received < partial.total {
             return Err(invalid());
         }
         Ok(partial.body.freeze())
@@ -88,10 +98,13 @@
 
 impl Partial {
     fn append(&mut self, fragment: &[u8]) -> io::Result<()> {
-        if self.body.len() + fragment.len() > self.total {
+        self.received += fragment.len();
+        if self.received > self.total {
             return Err(invalid());
         }
-        self.body.extend_from_slice(fragment);
+        if self.is_wanted {
+            self.body.extend_from_slice(fragment);
+        }
         Ok(())
     }
 }
--- a/crates/gradedyke-peer/src/server.rs
+++ b/crates/gradedyke-peer/src/server.rs
@@ -73,7 +73,7 @@
         tokio::select! {
             request = requests.next(), if !outbox.is_full() => {
                 let Some(request) = request else { return Ok(()) };
-                let (number, message) = inbox.receive(request?)?;
+                let (number, message) = inbox.receive(request?, |_| true)?;
                 let body = match message {
                     Some(Message::Whole(body)) => body,
                     Some(Message::TooLarge(_)) => {
