--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -295,6 +295,13 @@
     fn activate_config(&self, config: Config, revision: u64) {
         let before = self.config.load().as_ref().map(|c| c.version);
         if before >= Some(config.version) {
+            tracing::warn!(
+                event = "config_ignored",
+                version = config.version,
+                before,
+                revision,
+                remedy = "write it again with a higher version"
+            );
             return;
         }
         tracing::info!(
