--- a/crates/gradedyke-gateway/src/entry/mod.rs
+++ b/crates/gradedyke-gateway/src/entry/mod.rs
@@ -411,8 +411,8 @@
         }
     }
 
-    /// Waits for recent data if the process was paused just before, for a limited time. The
-    /// configuration may have changed meanwhile, and others know it.
+    /// Waits for recent data if the process has just started or was paused just before, for a limited
+    /// time. The configuration may have changed meanwhile, and others know it.
     async fn catch_up(&self, now: Instant) {
         let Some(until) = self.pauses.catches_up_until(now) else {
             return;
--- a/crates/gradedyke-gateway/src/entry/pause.rs
+++ b/crates/gradedyke-gateway/src/entry/pause.rs
@@ -1,4 +1,4 @@
-//! Detects that the process was paused, and may know less than it did before.
+//! Detects that the process was paused, and may know less than others do.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -19,7 +19,8 @@
 #[derive(Debug)]
 struct State {
     alive_at: Instant,
-    resumed_at: Option<Instant>,
+    /// End of the last pause.
+    resumed_at: Instant,
 }
 
 impl State {
@@ -29,18 +30,19 @@
         self.alive_at = self.alive_at.max(now);
         let is_pause = gap > PAUSE_THRESHOLD;
         if is_pause {
-            self.resumed_at = Some(now);
+            self.resumed_at = now;
         }
         is_pause.then_some(gap)
     }
 }
 
 impl Monitor {
-    /// Creates the monitor of a process that starts at `now`.
+    /// Creates the monitor of a process that starts at `now`. The start counts as the end of a
+    /// pause, because what a process learns first may come from the disk of another one.
     pub fn new(now: Instant) -> Self {
         Self(Mutex::new(State {
             alive_at: now,
-            resumed_at: None,
+            resumed_at: now,
         }))
     }
 
@@ -52,8 +54,8 @@
         }
     }
 
-    /// Returns until when a request that is read at `now` should wait for recent data, because the
-    /// process was paused just before; `None` if it was not.
+    /// Returns until when a request that is read at `now` should wait for recent data, because a
+    /// pause has just ended; `None` if none has.
     ///
     /// ```
     /// use std::time::Duration;
@@ -72,7 +74,7 @@
     pub fn catches_up_until(&self, now: Instant) -> Option<Instant> {
         self.record(now);
         let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let until = state.resumed_at? + CATCH_UP_TIMEOUT;
+        let until = state.resumed_at + CATCH_UP_TIMEOUT;
         (now < until).then_some(until)
     }
 }
--- a/crates/gradedyke-turns/tests/mirror.rs
+++ b/crates/gradedyke-turns/tests/mirror.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gradedyke_turns::mirror::{Cursor, Item, Mirror, Update};
+use gradedyke_turns::mirror::{Cursor, Item, Mirror, Source, Update};
 use tokio::time::Instant;
 
 fn update(asked_ms: Option<i64>) -> Update {
@@ -108,3 +108,32 @@
     assert!(follower.complete_as_of().is_some());
     assert!(follower.age(now).is_some());
 }
+
+/// Guards against a change whose way through the processes cannot be told from their logs.
+#[tokio::test]
+async fn origin_of_the_traced_key_is_that_of_its_latest_revision() {
+    let now = Instant::now();
+    let mirror = Mirror::with_traced_key(&[""], Some("config"));
+    let item = |key: &str, revision| Item {
+        key: key.to_owned(),
+        value: Some("value".into()),
+        revision,
+    };
+    assert_eq!(mirror.origin(), None);
+    mirror.apply(vec![item("config", 3)], now);
+    mirror.record_source(Source::Disk, now);
+    let peer = Source::Peer("127.0.0.1:7000".parse().unwrap());
+    // Neither another key nor the same revision from elsewhere is a change.
+    mirror.apply(vec![item("other", 4), item("config", 3)], now);
+    mirror.record_source(peer, now);
+    assert_eq!(
+        mirror.origin().map(|o| (o.revision, o.source)),
+        Some((3, Source::Disk))
+    );
+    mirror.apply(vec![item("config", 5)], now);
+    mirror.record_source(peer, now);
+    assert_eq!(
+        mirror.origin().map(|o| (o.revision, o.source)),
+        Some((5, peer))
+    );
+}
