Read the configuration alone where a listing by each process would be too much

Now an entry with low need reads just the configuration after the store has forgotten its history (one call, in place of the watch that would fail again), and listings begin 2.5 to 17.5 s after the copy became too old.

--- a/crates/gradedyke-turns/src/feed/policy.rs
+++ b/crates/gradedyke-turns/src/feed/policy.rs
@@ -12,7 +12,8 @@
 //! Replicas that answer with stale copies are trying to read the store themselves, and a listing by
 //! each process would overload the store. So the need is low at first, and high only if they do not
 //! recover. The processes then begin at random times, few at first, and the others get a fresh copy
-//! from these: the number of listings does not grow with the deployment.
+//! from these: the number of listings does not grow with the deployment. Until then they read the
+//! configuration alone.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -33,10 +34,11 @@
 
 /// Time for which replicas may answer with stale copies before the need is high.
 const STALE_REPLICAS_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Range of the random time that is added to it.
-const STALE_REPLICAS_SPREAD: Duration = Duration::from_millis(2_000);
+/// Range of the random time that is added to it. Several times what a fresh copy takes to spread
+/// from one process to the others.
+const STALE_REPLICAS_SPREAD: Duration = Duration::from_millis(15_000);
 /// Growth of the number of processes whose random time has passed, over the whole range, as the
-/// exponent of e. Of 20,000 processes, one begins in the first tenth.
+/// exponent of e. Of 20,000 processes, one begins early.
 const SPREAD_EXPONENT: f64 = 10.0;
 
 /// Grace period of an entry after its start, in which replicas, which may be starting
--- a/crates/gradedyke-turns/src/mirror.rs
+++ b/crates/gradedyke-turns/src/mirror.rs
@@ -199,6 +199,11 @@
         Some(now.saturating_duration_since(confirmed_at))
     }
 
+    /// The key whose changes are logged, if any.
+    pub fn traced_key(&self) -> Option<&str> {
+        self.traced_key.as_deref()
+    }
+
     /// Returns from where the traced key was last received; `None` if it never was.
     pub fn origin(&self) -> Option<Origin> {
         self.lock().origin
--- a/crates/gradedyke-turns/src/mirror/follow.rs
+++ b/crates/gradedyke-turns/src/mirror/follow.rs
@@ -124,6 +124,7 @@
     stop: CancellationToken,
 ) {
     let mut retry = Retry::new(timing);
+    let mut compacted_after = None;
     loop {
         let current_need = need();
         if current_need == Need::None {
@@ -132,7 +133,9 @@
         }
         let started = Instant::now();
         if retry.is_due(current_need, started) {
-            let result = read_prefix(&mirror, &*kv, &prefix, &need, &mut retry).await;
+            let compacted_after = &mut compacted_after;
+            let result =
+                read_prefix(&mirror, &*kv, &prefix, &need, &mut retry, compacted_after).await;
             if let Err(error) = result {
                 mirror.record_failure();
                 tracing::warn!(event = "platform_lost", prefix, %error);
@@ -148,14 +151,19 @@
 }
 
 /// Lists `prefix` or resumes its watch, and watches it until there is no `need` any more.
+/// `compacted_after` is the last revision whose later changes the store is known to have compacted.
 async fn read_prefix(
     mirror: &Mirror,
     kv: &dyn KeyValue,
     prefix: &str,
     need: &impl Fn() -> Need,
     retry: &mut Retry,
+    compacted_after: &mut Option<Revision>,
 ) -> Result<(), Error> {
     let complete_revision = mirror.prefix_revision(prefix);
+    if *compacted_after == Some(complete_revision) && need() != Need::High {
+        return read_traced_key(mirror, kv, retry).await;
+    }
     let (start, requested_at) =
         start_with_hedging(kv, prefix, complete_revision, retry.timing.hedge_delay).await?;
     if matches!(start, ReadStart::Compacted) && need() != Need::High {
@@ -166,8 +174,8 @@
             prefix,
             through = complete_revision
         );
-        retry.record_failure(Instant::now());
-        return Ok(());
+        *compacted_after = Some(complete_revision);
+        return read_traced_key(mirror, kv, retry).await;
     }
     let (start, requested_at) = match start {
         ReadStart::Compacted => start_with_hedging(kv, prefix, 0, retry.timing.hedge_delay).await?,
@@ -221,6 +229,23 @@
     Ok(())
 }
 
+/// Reads the traced key alone, in place of a listing. The copy stays incomplete, so the next read
+/// follows after a delay.
+async fn read_traced_key(
+    mirror: &Mirror,
+    kv: &dyn KeyValue,
+    retry: &mut Retry,
+) -> Result<(), Error> {
+    if let Some(key) = mirror.traced_key() {
+        let entry = kv.get(key).await?;
+        let now = Instant::now();
+        mirror.apply(entry.into_iter().map(Item::from).collect(), now);
+        mirror.record_source(Source::Store, now);
+    }
+    retry.record_failure(Instant::now());
+    Ok(())
+}
+
 /// The result of the first call of a read.
 enum ReadStart {
     /// All entries were listed.
