--- a/crates/gradedyke-platform/src/kv.rs
+++ b/crates/gradedyke-platform/src/kv.rs
@@ -130,7 +130,7 @@
     #[error("the watch starts too far back; list the keys again and watch from there")]
     Compacted,
     /// The service answered a read, but the answer cannot be read.
-    #[error("an answer of the key-value service cannot be read ({0}); find out who wrote it")]
+    #[error("a reply of the key-value service cannot be read ({0}); check what it serves")]
     Unreadable(String),
     /// The service answered with an error.
     #[error("the key-value service refused the call ({0}); see its log")]
--- a/crates/gradedyke-turns/src/feed/policy.rs
+++ b/crates/gradedyke-turns/src/feed/policy.rs
@@ -38,7 +38,7 @@
 /// from one process to the others.
 const STALE_REPLICAS_SPREAD: Duration = Duration::from_millis(15_000);
 /// Growth of the number of processes whose random time has passed, over the whole range, as the
-/// exponent of e. Of 20,000 processes, one begins early.
+/// exponent of e. Of 20,000 processes, one or two begin in the first tenth.
 const SPREAD_EXPONENT: f64 = 10.0;
 
 /// Grace period of an entry after its start, in which replicas, which may be starting
--- a/crates/gradedyke-turns/tests/mirror.rs
+++ b/crates/gradedyke-turns/tests/mirror.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gradedyke_platform::kv::KeyRange;
 use gradedyke_turns::mirror::{Cursor, Item, Mirror, Source, Update};
 use tokio::time::Instant;
 
@@ -137,3 +138,28 @@
         Some((5, peer))
     );
 }
+
+/// Guards against servers and configuration that count as deleted because a page was not read.
+#[tokio::test]
+async fn keys_that_were_not_read_do_not_count_as_deleted() {
+    let now = Instant::now();
+    let mirror = Mirror::new(&[""]);
+    let item = |key: &str, revision| Item {
+        key: key.to_owned(),
+        value: Some("value".into()),
+        revision,
+    };
+    let keys = ["a", "op/config", "servers/a", "servers/b", "status/a"];
+    let items = keys.iter().map(|key| item(key, 1)).collect();
+    mirror.apply_listing("", items, 1, now);
+    let unread = [KeyRange {
+        after: "op/config".to_owned(),
+        until: Some("servers/b".to_owned()),
+    }];
+    let listed = vec![item("op/config", 2), item("servers/b", 3)];
+    mirror.apply_partial_listing("", listed, 4, &unread, now);
+    let revision = |key| mirror.get(key).map(|(_, revision)| revision);
+    let revisions = keys.map(revision);
+    assert_eq!(revisions, [None, Some(2), Some(1), Some(3), None]);
+    assert_eq!(mirror.complete_revision(), 4);
+}
